--- /dev/null
+++ b/internal/fleet/record.go
@@ -0,0 +1,96 @@
+// Package fleet is the deterministic fold over the fleet stream:
+// registrations of processes, seals of those that are gone, and the
+// acknowledgements that make it safe to close their grants.
+package fleet
+
+import (
+	"github.com/google/uuid"
+
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/logservice"
+	"github.com/camphorlever/camphorlever/internal/record"
+)
+
+// Stream is the name of the fleet stream.
+const Stream logservice.Stream = "fleet"
+
+// Kinds of the records of the fleet stream.
+const (
+	KindRegister    record.Kind = 1
+	KindDeregister  record.Kind = 2
+	KindSeal        record.Kind = 3
+	KindAcknowledge record.Kind = 4
+	KindDestroyed   record.Kind = 5
+	KindLeave       record.Kind = 6
+	KindCheckpoint  record.Kind = 7
+	KindRaiseLevel  record.Kind = 8
+)
+
+// Role tells routers from side processes.
+type Role uint8
+
+// Roles of a process.
+const (
+	RoleRouter Role = 1
+	RoleSide   Role = 2
+)
+
+// Register announces one life of a process. Its incarnation is the offset of
+// the record plus one. The batch that carries it has writer 0: it is
+// identified by its nonce instead.
+type Register struct {
+	Nonce        uuid.UUID          `msgpack:"n"`
+	Role         Role               `msgpack:"r"`
+	VM           ident.VMID         `msgpack:"v"`
+	DataCentre   ident.DataCentreID `msgpack:"d"`
+	Address      string             `msgpack:"a"` // internal listener, host:port
+	Server       ident.ServerID     `msgpack:"s"` // backend server of a side process
+	MaxLevel     uint16             `msgpack:"l"` // highest format level the program understands
+	LedgerShards int                `msgpack:"h"` // fixed for the fleet by the first registration
+}
+
+// Deregister ends a life that has returned its grants and settled its runs.
+type Deregister struct {
+	Incarnation ident.Incarnation `msgpack:"i"`
+}
+
+// Leave announces that a side process takes no new work.
+type Leave struct {
+	Incarnation ident.Incarnation `msgpack:"i"`
+}
+
+// Seal declares that a life is thought to be over. Nothing is freed by it:
+// it only asks the others to stop dealing with that life and to acknowledge.
+type Seal struct {
+	Incarnation ident.Incarnation `msgpack:"i"`
+	Reason      string            `msgpack:"r"`
+}
+
+// Acknowledge says that its writer deals no more with a sealed life: it
+// neither starts a run with it nor holds an unsettled one, and every
+// settlement it owed has been read back from the ledger.
+type Acknowledge struct {
+	Sealed ident.Incarnation `msgpack:"s"`
+}
+
+// Destroyed is an operator's statement that the VMs of all lives of the
+// listed VMs up to an incarnation have been destroyed, or of all VMs if the
+// list is empty.
+type Destroyed struct {
+	VMs    []ident.VMID      `msgpack:"v"`
+	UpTo   ident.Incarnation `msgpack:"u"`
+	Author ident.OperatorID  `msgpack:"a"`
+}
+
+// RaiseLevel raises the format level of the stream.
+type RaiseLevel struct {
+	Level uint16 `msgpack:"l"`
+}
+
+// Member is one registered life.
+type Member struct {
+	Incarnation  ident.Incarnation
+	Registration Register
+	Leaving      bool
+	Sealed       bool
+}
