--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,9 @@
 
 staticcheck:
 	$(GO) tool staticcheck ./...
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+measure: build
+	$(BIN)/camphor-measure
