--- /dev/null
+++ b/internal/memlog/stream.go
@@ -0,0 +1,112 @@
+package memlog
+
+import (
+	"bytes"
+	"sync"
+
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/logservice"
+)
+
+// stream holds the retained entries of one stream.
+type stream struct {
+	mu      sync.Mutex // guards all fields; first+len(entries) is the next offset
+	first   ident.Offset
+	entries []logservice.Entry
+	appends int64
+	bytes   int64
+	grown   chan struct{} // closed and replaced by every append and trim
+}
+
+func newStream() *stream {
+	return &stream{grown: make(chan struct{})}
+}
+
+// append adds copies of one entry and returns the offset of the last.
+func (s *stream) append(data []byte, copies, retention int) ident.Offset {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data = bytes.Clone(data)
+	for range copies {
+		s.entries = append(s.entries, logservice.Entry{Offset: s.next(), Data: data})
+		s.appends++
+		s.bytes += int64(len(data))
+	}
+	s.retainLocked(retention)
+	s.wake()
+	return s.next() - 1
+}
+
+// page returns the entries from an offset on, and the channel that is closed
+// when there may be more.
+func (s *stream) page(from ident.Offset, limit int) (logservice.Page, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if from < s.first {
+		return logservice.Page{}, nil, logservice.ErrTrimmed
+	}
+	page := logservice.Page{First: s.first, Next: s.next()}
+	if from >= s.next() {
+		return page, s.grown, nil
+	}
+	if limit <= 0 || limit > MaxPageEntries {
+		limit = MaxPageEntries
+	}
+	size := 0
+	for _, entry := range s.entries[from-s.first:] {
+		size += len(entry.Data)
+		full := len(page.Entries) == limit || size > MaxPageBytes
+		if full && len(page.Entries) > 0 {
+			break
+		}
+		page.Entries = append(page.Entries, entry)
+	}
+	return page, s.grown, nil
+}
+
+func (s *stream) retain(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retainLocked(n)
+	s.wake()
+}
+
+func (s *stream) retainLocked(n int) {
+	if n <= 0 || len(s.entries) <= n {
+		return
+	}
+	s.trimLocked(s.next() - ident.Offset(n))
+}
+
+func (s *stream) trim(before ident.Offset) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trimLocked(min(before, s.next()))
+	s.wake()
+}
+
+// trimLocked drops the entries before an offset that is at most the next.
+func (s *stream) trimLocked(before ident.Offset) {
+	if before <= s.first {
+		return
+	}
+	dropped := int(before - s.first)
+	clear(s.entries[:dropped]) // append moves the rest when it next grows
+	s.entries = s.entries[dropped:]
+	s.first = before
+}
+
+func (s *stream) stats() StreamStats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StreamStats{Appends: s.appends, Bytes: s.bytes, First: s.first, Next: s.next()}
+}
+
+func (s *stream) next() ident.Offset {
+	return s.first + ident.Offset(len(s.entries))
+}
+
+func (s *stream) wake() {
+	close(s.grown)
+	s.grown = make(chan struct{})
+}
