--- /dev/null
+++ b/internal/ledger/budget.go
@@ -0,0 +1,117 @@
+package ledger
+
+import (
+	"math"
+	"sort"
+
+	"github.com/camphorlever/camphorlever/internal/ident"
+)
+
+// maxTokens bounds a team's top-ups, so that sums of budgets cannot overflow.
+const maxTokens = math.MaxInt64 / 1024
+
+// Budget is what the ledger knows of one team's tokens.
+type Budget struct {
+	TopUps      int64 // paid for
+	Billed      int64 // settled runs
+	Outstanding int64 // in the grants of all holders
+	Free        int64 // TopUps - Billed - Outstanding; never negative
+
+	// Overrun is what settlements asked for beyond their grant. A run is
+	// admitted only if its bound fits the grant and cut off at the bound, so
+	// it stays zero unless a process breaks that rule.
+	Overrun int64
+	// Late is what settlements asked for from closed grants. It stays zero
+	// unless a Close was written without its proof.
+	Late int64
+}
+
+// Grant is the tokens of one team in the hands of one holder. All fields only
+// ever grow, so that a holder that missed a verdict can read the result of
+// its records from them.
+type Grant struct {
+	Holder   ident.Incarnation `msgpack:"h"`
+	Granted  int64             `msgpack:"g"` // by draws
+	Returned int64             `msgpack:"r"`
+	Billed   int64             `msgpack:"b"` // settled runs under it
+}
+
+// Outstanding is what is left of the grant.
+func (g Grant) Outstanding() int64 {
+	return g.Granted - g.Returned - g.Billed
+}
+
+// budget is the state of one team.
+type budget struct {
+	topUps      int64
+	billed      int64
+	outstanding int64 // sum over grants
+	overrun     int64
+	late        int64
+	grants      []Grant // sorted by holder; a grant stays until it is closed
+	topUpIDs    window[struct{}]
+}
+
+func newBudget() *budget {
+	return &budget{topUpIDs: newWindow[struct{}](TopUpWindow)}
+}
+
+func (b *budget) free() int64 {
+	return b.topUps - b.billed - b.outstanding
+}
+
+// find returns the index of a holder's grant, or where it would stand.
+func (b *budget) find(holder ident.Incarnation) (int, bool) {
+	i := sort.Search(len(b.grants), func(i int) bool { return b.grants[i].Holder >= holder })
+	return i, i < len(b.grants) && b.grants[i].Holder == holder
+}
+
+// grant returns a holder's grant, nil if there is none.
+func (b *budget) grant(holder ident.Incarnation) *Grant {
+	i, ok := b.find(holder)
+	if !ok {
+		return nil
+	}
+	return &b.grants[i]
+}
+
+// draw moves free tokens into a holder's grant.
+func (b *budget) draw(holder ident.Incarnation, tokens int64) {
+	i, ok := b.find(holder)
+	if !ok {
+		b.grants = append(b.grants, Grant{})
+		copy(b.grants[i+1:], b.grants[i:])
+		b.grants[i] = Grant{Holder: holder}
+	}
+	b.grants[i].Granted += tokens
+	b.outstanding += tokens
+}
+
+// bill moves tokens of a grant to the billed ones.
+func (b *budget) bill(grant *Grant, tokens int64) {
+	grant.Billed += tokens
+	b.outstanding -= tokens
+	b.billed += tokens
+}
+
+// closeGrants frees the grants of the holders from first to last.
+func (b *budget) closeGrants(first, last ident.Incarnation) {
+	from, _ := b.find(first)
+	to := from
+	for to < len(b.grants) && b.grants[to].Holder <= last {
+		b.outstanding -= b.grants[to].Outstanding()
+		to++
+	}
+	b.grants = append(b.grants[:from], b.grants[to:]...)
+}
+
+func (b *budget) view() Budget {
+	return Budget{
+		TopUps:      b.topUps,
+		Billed:      b.billed,
+		Outstanding: b.outstanding,
+		Free:        b.free(),
+		Overrun:     b.overrun,
+		Late:        b.late,
+	}
+}
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -71,6 +71,10 @@
 	Run     ident.RunID       `msgpack:"r"`
 	Key     ident.Key         `msgpack:"k"`
 	Tokens  int64             `msgpack:"n"` // prompt and output tokens
+	// Floor is set by the gate itself: every run of the shard's teams that
+	// it numbered below Floor is settled, or never was a run. It lets the
+	// fold forget them one by one. Zero says nothing.
+	Floor uint64 `msgpack:"f,omitempty"`
 }
 
 // Claim reserves a key that must not run twice for one gate. The first claim
@@ -92,8 +96,13 @@
 // once the fleet stream proves that no further run can start under them and
 // that all witnesses of earlier runs have settled; that proof, once had,
 // stays true, so a delayed Close is harmless.
+//
+// Through, if not zero, extends the statement to every incarnation from Holder
+// to Through: each was closed before, is closed by the same proof, or never
+// was an incarnation. It joins the ranges that the fold remembers.
 type Close struct {
-	Holder ident.Incarnation `msgpack:"h"`
+	Holder  ident.Incarnation `msgpack:"h"`
+	Through ident.Incarnation `msgpack:"t,omitempty"`
 }
 
 // RaiseLevel raises the format level of the stream.
