Ledger fold: what borrowers' runs cost a grant

A lender may take back the loan of a closed borrower, but only less what the borrower's runs used, and the fold did not tell. Settle.Router (optional) names the router that began the run; the fold keeps the bills of routers other than the holder beside the grant. A settlement that names none counts against every borrower, so that an older writer makes the lender keep tokens back rather than lend them twice.

Seen failing with a mutation: unknown routers not counted.

--- a/internal/ledger/apply.go
+++ b/internal/ledger/apply.go
@@ -158,7 +158,7 @@
 	}
 	tokens := min(r.Tokens, grant.Outstanding())
 	b.overrun += r.Tokens - tokens
-	b.bill(grant, tokens)
+	b.bill(grant, r.Router, tokens)
 	if tokens > 0 && r.Key != (ident.Key{}) {
 		s.billed.put(r.Key, struct{}{})
 	}
--- a/internal/ledger/budget.go
+++ b/internal/ledger/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 
 	"github.com/camphorlever/camphorlever/internal/ident"
@@ -34,6 +35,27 @@
 	Granted  int64             `msgpack:"g"` // by draws
 	Returned int64             `msgpack:"r"`
 	Billed   int64             `msgpack:"b"` // settled runs under it
+	// Foreign is the part of Billed for runs that others than the holder
+	// began under loans, sorted by router. Router 0 stands for unknown ones.
+	Foreign []ForeignBill `msgpack:"f,omitempty"`
+}
+
+// ForeignBill is what the runs of one borrower cost a grant.
+type ForeignBill struct {
+	Router ident.Incarnation `msgpack:"r"`
+	Billed int64             `msgpack:"b"`
+}
+
+// BilledBy returns the most that the settled runs of a router other than the
+// holder can have cost the grant.
+func (g Grant) BilledBy(router ident.Incarnation) int64 {
+	var billed int64
+	for _, f := range g.Foreign {
+		if f.Router == router || f.Router == 0 {
+			billed += f.Billed
+		}
+	}
+	return billed
 }
 
 // Outstanding is what is left of the grant.
@@ -79,21 +101,31 @@
 func (b *budget) draw(holder ident.Incarnation, tokens int64) {
 	i, ok := b.find(holder)
 	if !ok {
-		b.grants = append(b.grants, Grant{})
-		copy(b.grants[i+1:], b.grants[i:])
-		b.grants[i] = Grant{Holder: holder}
+		b.grants = slices.Insert(b.grants, i, Grant{Holder: holder})
 	}
 	b.grants[i].Granted += tokens
 	b.outstanding += tokens
 }
 
 // bill moves tokens of a grant to the billed ones.
-func (b *budget) bill(grant *Grant, tokens int64) {
+func (b *budget) bill(grant *Grant, router ident.Incarnation, tokens int64) {
 	grant.Billed += tokens
+	if router != grant.Holder && tokens > 0 {
+		grant.addForeign(router, tokens)
+	}
 	b.outstanding -= tokens
 	b.billed += tokens
 }
 
+// addForeign adds to the bill of a borrower.
+func (g *Grant) addForeign(router ident.Incarnation, tokens int64) {
+	i := sort.Search(len(g.Foreign), func(i int) bool { return g.Foreign[i].Router >= router })
+	if i == len(g.Foreign) || g.Foreign[i].Router != router {
+		g.Foreign = slices.Insert(g.Foreign, i, ForeignBill{Router: router})
+	}
+	g.Foreign[i].Billed += tokens
+}
+
 // closeGrants frees the grants of the holders from first to last.
 func (b *budget) closeGrants(first, last ident.Incarnation) {
 	from, _ := b.find(first)
@@ -102,7 +134,7 @@
 		b.outstanding -= b.grants[to].Outstanding()
 		to++
 	}
-	b.grants = append(b.grants[:from], b.grants[to:]...)
+	b.grants = slices.Delete(b.grants, from, to)
 }
 
 func (b *budget) view() Budget {
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -75,6 +75,10 @@
 	// it numbered below Floor is settled, or never was a run. It lets the
 	// fold forget them one by one. Zero says nothing.
 	Floor uint64 `msgpack:"f,omitempty"`
+	// Router began the run. A lender that takes back the loan of a closed
+	// borrower learns from it what the borrower's runs used. Zero means
+	// unknown: then it may have been any router.
+	Router ident.Incarnation `msgpack:"b,omitempty"`
 }
 
 // Claim reserves a key that must not run twice for one gate. The first claim
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/camphorlever/camphorlever/internal/ident"
@@ -142,7 +144,9 @@
 func (s *State) Grant(team ident.TeamID, holder ident.Incarnation) Grant {
 	if b := s.budgets[team]; b != nil {
 		if grant := b.grant(holder); grant != nil {
-			return *grant
+			copied := *grant
+			copied.Foreign = slices.Clone(copied.Foreign)
+			return copied
 		}
 	}
 	return Grant{Holder: holder}
@@ -154,7 +158,11 @@
 	if b == nil {
 		return nil
 	}
-	return append([]Grant(nil), b.grants...)
+	grants := slices.Clone(b.grants)
+	for i := range grants {
+		grants[i].Foreign = slices.Clone(grants[i].Foreign)
+	}
+	return grants
 }
 
 // Teams returns the number of teams that were ever topped up.
--- a/internal/ledger/state_test.go
+++ b/internal/ledger/state_test.go
@@ -57,13 +57,26 @@
 	require.EqualValues(t, 70, s.do(1, KindDraw, Draw{Team: "a", Asked: 70}).Tokens)
 	require.EqualValues(t, 30, s.do(2, KindDraw, Draw{Team: "a", Asked: 70, Least: 30}).Tokens, "the free rest")
 	require.Equal(t, Exhausted, s.do(3, KindDraw, Draw{Team: "a", Asked: 1}).Outcome)
-	require.EqualValues(t, 25, s.do(9, KindSettle, Settle{Team: "a", Holder: 1, Run: run(9, 1), Key: key(1), Tokens: 25}).Tokens)
+	require.EqualValues(t, 25, s.do(9, KindSettle, Settle{Team: "a", Holder: 1, Router: 1, Run: run(9, 1), Key: key(1), Tokens: 25}).Tokens)
 	require.Equal(t, RefusedInvalid, s.do(1, KindReturn, Return{Team: "a", Tokens: 46}).Outcome)
 	require.Equal(t, Accepted, s.do(1, KindReturn, Return{Team: "a", Tokens: 45}).Outcome)
 	require.Equal(t, Budget{TopUps: 100, Billed: 25, Outstanding: 30, Free: 45}, s.state.Budget("a"))
 	require.Equal(t, Grant{Holder: 1, Granted: 70, Returned: 45, Billed: 25}, s.state.Grant("a", 1))
 }
 
+func TestBillsOfBorrowers(t *testing.T) {
+	s := newScript(t)
+	s.do(1, KindTopUp, TopUp{Team: "a", ID: "x", Tokens: 100})
+	s.do(1, KindDraw, Draw{Team: "a", Asked: 50})
+	for i, router := range []ident.Incarnation{3, 1, 2, 3, 0} {
+		n := byte(i + 1)
+		s.do(9, KindSettle, Settle{Team: "a", Holder: 1, Router: router, Run: run(9, uint64(n)), Key: key(n), Tokens: int64(n)})
+	}
+	grant := s.state.Grant("a", 1)
+	require.Equal(t, []ForeignBill{{0, 5}, {2, 3}, {3, 5}}, grant.Foreign)
+	require.EqualValues(t, []int64{15, 8, 10, 5}, []int64{grant.Billed, grant.BilledBy(2), grant.BilledBy(3), grant.BilledBy(4)})
+}
+
 func TestARunAndAKeyAreBilledOnce(t *testing.T) {
 	s := newScript(t)
 	s.do(1, KindTopUp, TopUp{Team: "a", ID: "x", Tokens: 100})
@@ -277,7 +290,7 @@
 		func() record.Record { return rec(t, KindDraw, Draw{Team: team(), Asked: tokens()}) },
 		func() record.Record { return rec(t, KindReturn, Return{Team: team(), Tokens: tokens()}) },
 		func() record.Record {
-			return rec(t, KindSettle, Settle{Team: team(), Holder: who(), Run: run(who(), rng.Uint64N(9)), Key: key(byte(rng.IntN(9))), Tokens: tokens()})
+			return rec(t, KindSettle, Settle{Team: team(), Holder: who(), Router: who() - 1, Run: run(who(), rng.Uint64N(9)), Key: key(byte(rng.IntN(9))), Tokens: tokens()})
 		},
 		func() record.Record {
 			return rec(t, KindClaim, Claim{Team: team(), Key: key(byte(rng.IntN(9))), Gate: who()})
