--- /dev/null
+++ b/internal/filter/parse/chat.go
@@ -0,0 +1,130 @@
+package parse
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
+
+// maxMessages bounds the messages of one request.
+const maxMessages = 4096
+
+// chat holds the fields of a chat completion that the router acts on. The
+// body goes to the engine as the caller sent it.
+type chat struct {
+	Model               string    `json:"model"`
+	Messages            []message `json:"messages"`
+	MaxTokens           *int64    `json:"max_tokens"`
+	MaxCompletionTokens *int64    `json:"max_completion_tokens"`
+	Choices             *int64    `json:"n"`
+	Stream              bool      `json:"stream"`
+}
+
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+	text    []byte
+}
+
+type part struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+func decodeChat(body []byte) (*chat, error) {
+	var c chat
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, describe(err)
+	}
+	if c.Model == "" {
+		return nil, errors.New("model is missing")
+	}
+	if len(c.Messages) == 0 {
+		return nil, errors.New("messages is missing or empty")
+	}
+	if len(c.Messages) > maxMessages {
+		return nil, errors.Errorf("messages has more than %d elements", maxMessages)
+	}
+	if c.Choices != nil && *c.Choices != 1 {
+		return nil, errors.New("n must be 1")
+	}
+	if negative(c.MaxTokens) || negative(c.MaxCompletionTokens) {
+		return nil, errors.New("max_tokens must be positive")
+	}
+	for i := range c.Messages {
+		if err := c.Messages[i].decode(); err != nil {
+			return nil, errors.WithMessagef(err, "messages[%d]", i)
+		}
+	}
+	return &c, nil
+}
+
+// describe names the place of a JSON error without Go's type names.
+func describe(err error) error {
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		return errors.Errorf("malformed JSON at byte %d", syntax.Offset)
+	}
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		return errors.Errorf("%s has the wrong type (%s)", wrong.Field, wrong.Value)
+	}
+	return errors.New("malformed JSON")
+}
+
+func negative(n *int64) bool {
+	return n != nil && *n <= 0
+}
+
+// decode reads a content that is text, absent, or a list of text parts.
+func (m *message) decode() error {
+	if m.Role == "" {
+		return errors.New("role is missing")
+	}
+	raw := bytes.TrimSpace(m.Content)
+	if len(raw) == 0 || bytes.Equal(raw, []byte("null")) {
+		return nil
+	}
+	if raw[0] == '"' {
+		var text string
+		if err := json.Unmarshal(raw, &text); err != nil {
+			return errors.New("content is not valid text")
+		}
+		m.text = []byte(text)
+		return nil
+	}
+	var parts []part
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return errors.New("content must be text or a list of parts")
+	}
+	for _, p := range parts {
+		if p.Type != "text" {
+			return errors.New("content parts other than text are not supported")
+		}
+		m.text = append(m.text, p.Text...)
+	}
+	return nil
+}
+
+// maxOutput returns the smaller of the limits that the caller gave, or zero.
+func (c *chat) maxOutput() int64 {
+	switch {
+	case c.MaxTokens == nil && c.MaxCompletionTokens == nil:
+		return 0
+	case c.MaxTokens == nil:
+		return *c.MaxCompletionTokens
+	case c.MaxCompletionTokens == nil:
+		return *c.MaxTokens
+	default:
+		return min(*c.MaxTokens, *c.MaxCompletionTokens)
+	}
+}
+
+func (c *chat) contents() []byte {
+	var all []byte
+	for i := range c.Messages {
+		all = append(all, c.Messages[i].text...)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/filter/parse/handler.go
@@ -0,0 +1,126 @@
+package parse
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"github.com/camphorlever/camphorlever/internal/counter"
+	"github.com/camphorlever/camphorlever/internal/filter"
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/refusal"
+	"github.com/camphorlever/camphorlever/internal/wire"
+)
+
+type handler struct {
+	counters *counter.Set
+}
+
+// Handle reads the whole body, bounded in size and time, and fills in the
+// call. No filter after it reads from the caller.
+func (h *handler) Handle(ctx context.Context, r *filter.Request, next filter.Next) filter.Outcome {
+	if refused := h.headers(r); refused != nil {
+		return filter.Outcome{Refusal: refused}
+	}
+	body, refused := h.read(r)
+	if refused != nil {
+		return filter.Outcome{Refusal: refused}
+	}
+	r.Call.Body = body
+	r.Call.ContentType = r.HTTP.Header.Get("Content-Type")
+	if r.Route.Service != "" {
+		h.service(r)
+		return next(ctx, r)
+	}
+	if refused := h.chat(r, body); refused != nil {
+		return filter.Outcome{Refusal: refused}
+	}
+	return next(ctx, r)
+}
+
+func (h *handler) headers(r *filter.Request) *refusal.Refusal {
+	r.CallerKey = r.HTTP.Header.Get(filter.HeaderIdempotencyKey)
+	if len(r.CallerKey) > maxKeyLength {
+		return h.bad("long_key", "The idempotency key is longer than "+strconv.Itoa(maxKeyLength)+" bytes.")
+	}
+	text := r.HTTP.Header.Get(filter.HeaderOnce)
+	if text == "" {
+		return nil
+	}
+	once, err := strconv.ParseBool(text)
+	if err != nil {
+		return h.bad("bad_once", filter.HeaderOnce+" must be true or false.")
+	}
+	r.Once = once
+	return nil
+}
+
+func (h *handler) read(r *filter.Request) ([]byte, *refusal.Refusal) {
+	limit := int64(defaultMaxBody)
+	if n := r.Settings.Fleet.MaxBodyBytes; n > 0 {
+		limit = int64(n)
+	}
+	if r.HTTP.ContentLength > limit {
+		return nil, h.tooLarge(limit)
+	}
+	r.Writer.ReadDeadline(bodyTimeout)
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.HTTP.Body, limit))
+	if err == nil {
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, h.tooLarge(limit)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, h.bad("slow_body", "The body did not arrive in time.")
+	}
+	return nil, h.bad("broken_body", "The body could not be read to its end.")
+}
+
+// service marks methods that the settings say must not be repeated.
+func (h *handler) service(r *filter.Request) {
+	r.Call.Service = r.Route.Service
+	r.Call.Method = r.HTTP.Method
+	r.Call.Path = r.Route.Path
+	if query := r.HTTP.URL.RawQuery; query != "" {
+		r.Call.Path += "?" + query
+	}
+	for _, method := range r.Settings.Services[r.Route.Service].Once {
+		if method == r.HTTP.Method {
+			r.Once = true
+		}
+	}
+}
+
+func (h *handler) chat(r *filter.Request, body []byte) *refusal.Refusal {
+	chat, err := decodeChat(body)
+	if err != nil {
+		return h.bad("bad_chat", "The request is not a valid chat completion: "+err.Error()+".")
+	}
+	r.Call = wire.Call{
+		Model:       ident.ModelID(chat.Model),
+		Adapter:     ident.AdapterID(r.HTTP.Header.Get(filter.HeaderAdapter)),
+		ContentType: "application/json",
+		Body:        body,
+	}
+	r.Stream = chat.Stream
+	r.AskedOutput = chat.maxOutput()
+	r.Contents = chat.contents()
+	r.Messages = len(chat.Messages)
+	return nil
+}
+
+func (h *handler) bad(reason, message string) *refusal.Refusal {
+	h.counters.Inc(reason)
+	return refusal.New(refusal.BadRequest, refusal.NotRun, message)
+}
+
+func (h *handler) tooLarge(limit int64) *refusal.Refusal {
+	h.counters.Inc("too_large")
+	return refusal.New(refusal.BodyTooLarge, refusal.NotRun, "The body is larger than "+strconv.FormatInt(limit, 10)+" bytes.")
+}
