--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -47,6 +47,7 @@
 	Server       ident.ServerID     `msgpack:"s"` // backend server of a side process
 	MaxLevel     uint16             `msgpack:"l"` // highest format level the program understands
 	LedgerShards int                `msgpack:"h"` // fixed for the fleet by the first registration
+	Seen         ident.Offset       `msgpack:"o"` // last offset of the stream that the process had read
 }
 
 // Deregister ends a life that has returned its grants and settled its runs.
--- /dev/null
+++ b/internal/fleet/snapshot.go
@@ -0,0 +1,107 @@
+package fleet
+
+import (
+	"slices"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/camphorlever/camphorlever/internal/ident"
+)
+
+// snapshot is the serial form of a State. Every list is sorted, so that equal
+// states have equal bytes.
+type snapshot struct {
+	Offset  ident.Offset  `msgpack:"o"`
+	Level   uint16        `msgpack:"l"`
+	Shards  int           `msgpack:"s"`
+	Members []memberImage `msgpack:"m"`
+	Recent  []nonce       `msgpack:"n"`
+}
+
+type memberImage struct {
+	Incarnation  ident.Incarnation   `msgpack:"i"`
+	Registration Register            `msgpack:"r"`
+	Leaving      bool                `msgpack:"v"`
+	Sealed       bool                `msgpack:"s"`
+	SealedAt     ident.Offset        `msgpack:"a"`
+	Destroyed    bool                `msgpack:"d"`
+	Acked        []ident.Incarnation `msgpack:"k"`
+}
+
+// Snapshot encodes the state. Equal states give equal bytes.
+func (s *State) Snapshot() ([]byte, error) {
+	image := snapshot{
+		Offset:  s.offset,
+		Level:   s.level,
+		Shards:  s.shards,
+		Members: make([]memberImage, 0, len(s.members)),
+		Recent:  append(make([]nonce, 0, len(s.recent)), s.recent...),
+	}
+	for _, m := range s.sorted() {
+		image.Members = append(image.Members, m.image())
+	}
+	raw, err := msgpack.Marshal(&image)
+	return raw, errors.Wrap(err, "encode fleet snapshot")
+}
+
+func (m *member) image() memberImage {
+	image := memberImage{
+		Incarnation:  m.Incarnation,
+		Registration: m.Registration,
+		Leaving:      m.Leaving,
+		Sealed:       m.Sealed,
+		SealedAt:     m.sealedAt,
+		Destroyed:    m.destroyed,
+		Acked:        make([]ident.Incarnation, 0, len(m.acked)),
+	}
+	for incarnation := range m.acked {
+		image.Acked = append(image.Acked, incarnation)
+	}
+	slices.Sort(image.Acked)
+	return image
+}
+
+// Load decodes a snapshot. It fails if the bytes are not a snapshot or if the
+// stream's level is above MaxLevel.
+func Load(raw []byte) (*State, error) {
+	var image snapshot
+	if err := msgpack.Unmarshal(raw, &image); err != nil {
+		return nil, errors.Wrap(err, "decode fleet snapshot")
+	}
+	if image.Level == 0 || image.Level > MaxLevel {
+		return nil, errors.Errorf("fleet snapshot has level %d, this program knows %d", image.Level, MaxLevel)
+	}
+	s := New()
+	s.offset = image.Offset
+	s.level = image.Level
+	s.shards = image.Shards
+	s.recent = image.Recent
+	for _, n := range image.Recent {
+		s.nonces[n.Nonce] = n.Incarnation
+	}
+	for _, m := range image.Members {
+		s.members[m.Incarnation] = m.load()
+	}
+	return s, nil
+}
+
+func (image memberImage) load() *member {
+	m := &member{
+		Member: Member{
+			Incarnation:  image.Incarnation,
+			Registration: image.Registration,
+			Leaving:      image.Leaving,
+			Sealed:       image.Sealed,
+		},
+		sealedAt:  image.SealedAt,
+		destroyed: image.Destroyed,
+	}
+	if image.Sealed {
+		m.acked = make(map[ident.Incarnation]struct{}, len(image.Acked))
+	}
+	for _, incarnation := range image.Acked {
+		m.acked[incarnation] = struct{}{}
+	}
+	return m
+}
--- /dev/null
+++ b/internal/fleet/view.go
@@ -0,0 +1,96 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/camphorlever/camphorlever/internal/ident"
+)
+
+// View is the membership at an offset. It is immutable.
+type View struct {
+	Offset  ident.Offset
+	Routers []Member // neither sealed nor ended, by incarnation
+	Sides   []Member // neither sealed nor ended, by incarnation; also those that leave
+	Pending []Sealed // sealed and not decided, by incarnation
+	members map[ident.Incarnation]Member
+}
+
+// Sealed is a sealed life that is not decided.
+type Sealed struct {
+	Member
+	At        ident.Offset // of the seal
+	Destroyed bool
+	AckedBy   map[ident.Incarnation]struct{}
+}
+
+// View returns the membership now.
+func (s *State) View() *View {
+	v := &View{Offset: s.offset, members: make(map[ident.Incarnation]Member, len(s.members))}
+	for _, m := range s.sorted() {
+		v.members[m.Incarnation] = m.Member
+		switch {
+		case m.Sealed:
+			v.Pending = append(v.Pending, m.pending())
+		case m.Registration.Role == RoleRouter:
+			v.Routers = append(v.Routers, m.Member)
+		default:
+			v.Sides = append(v.Sides, m.Member)
+		}
+	}
+	return v
+}
+
+func (m *member) pending() Sealed {
+	acked := make(map[ident.Incarnation]struct{}, len(m.acked))
+	for incarnation := range m.acked {
+		acked[incarnation] = struct{}{}
+	}
+	return Sealed{Member: m.Member, At: m.sealedAt, Destroyed: m.destroyed, AckedBy: acked}
+}
+
+func (s *State) sorted() []*member {
+	members := make([]*member, 0, len(s.members))
+	for _, m := range s.members {
+		members = append(members, m)
+	}
+	slices.SortFunc(members, func(a, b *member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	return members
+}
+
+// Member returns a life that is live or sealed and not decided.
+func (v *View) Member(incarnation ident.Incarnation) (Member, bool) {
+	m, ok := v.members[incarnation]
+	return m, ok
+}
+
+// Live reports whether a life is registered and not sealed.
+func (v *View) Live(incarnation ident.Incarnation) bool {
+	m, ok := v.members[incarnation]
+	return ok && !m.Sealed
+}
+
+// Sealed reports whether a life is sealed or over.
+func (v *View) Sealed(incarnation ident.Incarnation) bool {
+	m, ok := v.members[incarnation]
+	if ok {
+		return m.Sealed
+	}
+	return v.Closed(incarnation)
+}
+
+// Closed reports whether a life has deregistered or is decided. It stays true.
+func (v *View) Closed(incarnation ident.Incarnation) bool {
+	_, member := v.members[incarnation]
+	return incarnation != 0 && registeredBefore(incarnation, v.Offset) && !member
+}
+
+// Side returns the newest live side process of a backend server.
+func (v *View) Side(server ident.ServerID) (Member, bool) {
+	for _, m := range slices.Backward(v.Sides) {
+		if m.Registration.Server == server {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -32,6 +32,11 @@
 	Value  []byte           `msgpack:"v"` // JSON; empty removes the subtree
 }
 
+// RaiseLevel raises the format level of the stream.
+type RaiseLevel struct {
+	Level uint16 `msgpack:"l"`
+}
+
 // Tree is the typed configuration in force at an offset. It is immutable:
 // a change makes a new tree.
 type Tree struct {
