--- a/cmd/camphor-measure/main.go
+++ b/cmd/camphor-measure/main.go
@@ -9,10 +9,13 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/camphorlever/camphorlever/internal/measure"
+	"github.com/camphorlever/camphorlever/internal/measure/capacity"
 )
 
 // groups lists what can be measured, in the order of the report.
-var groups = []measure.Group{}
+var groups = []measure.Group{
+	capacity.Group,
+}
 
 type flags struct {
 	Only []string `arg:"" optional:"" help:"Groups to measure; all if none is named."`
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -3,6 +3,8 @@
 package record
 
 import (
+	"bytes"
+
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -40,7 +42,7 @@
 
 // New encodes the body of a record of the base level.
 func New(kind Kind, body any) (Record, error) {
-	raw, err := msgpack.Marshal(body)
+	raw, err := encode(body)
 	if err != nil {
 		return Record{}, errors.Wrapf(err, "encode record of kind %d", kind)
 	}
@@ -58,10 +60,22 @@
 
 // Marshal encodes a batch as the data of a log entry.
 func Marshal(batch Batch) ([]byte, error) {
-	raw, err := msgpack.Marshal(&batch)
+	raw, err := encode(&batch)
 	return raw, errors.Wrap(err, "encode batch")
 }
 
+// encode writes structs as arrays, without field names: the log's bytes are
+// budgeted. Fields may therefore only be added at the end of a record, and
+// only with a new format level.
+func encode(value any) ([]byte, error) {
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
+	err := enc.Encode(value)
+	return buf.Bytes(), err
+}
+
 // Unmarshal decodes the data of a log entry.
 func Unmarshal(data []byte) (Batch, error) {
 	var batch Batch
