--- /dev/null
+++ b/internal/ledger/incarnations.go
@@ -0,0 +1,38 @@
+package ledger
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/camphorlever/camphorlever/internal/ident"
+)
+
+// Incarnations lists the lives of which the shard remembers something that a
+// Close would free: a mark, a grant or settled runs. It is sorted.
+func (s *State) Incarnations() []ident.Incarnation {
+	known := map[ident.Incarnation]struct{}{}
+	for writer := range s.marks {
+		known[writer] = struct{}{}
+	}
+	for gate := range s.settled {
+		known[gate] = struct{}{}
+	}
+	for _, b := range s.budgets {
+		for _, grant := range b.grants {
+			known[grant.Holder] = struct{}{}
+		}
+	}
+	return slices.Sorted(maps.Keys(known))
+}
+
+// Outstanding returns the tokens that a holder's grants of all teams still
+// hold.
+func (s *State) Outstanding(holder ident.Incarnation) int64 {
+	var sum int64
+	for _, b := range s.budgets {
+		if grant := b.grant(holder); grant != nil {
+			sum += grant.Outstanding()
+		}
+	}
+	return sum
+}
