Resume request carries the body hash

A repeated request under the same key but with another body must not get the first one's answer. The gate answers BeginConflict if the hash is set and is not that of the key's run.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -67,11 +67,12 @@
 
 // ResumeRequest attaches to the answer of a key at an event offset.
 type ResumeRequest struct {
-	Request ident.RequestID   `msgpack:"q"`
-	Attempt uint32            `msgpack:"n"`
-	Key     ident.Key         `msgpack:"k"`
-	Gate    ident.Incarnation `msgpack:"g"`
-	From    uint64            `msgpack:"f"`
+	Request  ident.RequestID   `msgpack:"q"`
+	Attempt  uint32            `msgpack:"n"`
+	Key      ident.Key         `msgpack:"k"`
+	BodyHash ident.Key         `msgpack:"bh"` // BeginConflict if set and the key has another
+	Gate     ident.Incarnation `msgpack:"g"`
+	From     uint64            `msgpack:"f"`
 }
 
 // BeginOutcome is a gate's answer to a BeginRequest or ResumeRequest.
