--- /dev/null
+++ b/internal/filter/admit/handler.go
@@ -0,0 +1,61 @@
+package admit
+
+import (
+	"context"
+
+	"github.com/camphorlever/camphorlever/internal/counter"
+	"github.com/camphorlever/camphorlever/internal/filter"
+	"github.com/camphorlever/camphorlever/internal/refusal"
+)
+
+type handler struct {
+	budget    Budget
+	tokenizer Tokenizer
+	counters  *counter.Set
+}
+
+// Handle goes on only with a reservation, and frees it if no later filter
+// has taken it over.
+func (h *handler) Handle(ctx context.Context, r *filter.Request, next filter.Next) filter.Outcome {
+	if r.Reservation != nil {
+		return next(ctx, r)
+	}
+	reservation, refused := h.acquire(ctx, r)
+	if refused != nil {
+		h.counters.Inc(string(refused.Code))
+		return filter.Outcome{Refusal: refused}
+	}
+	r.Reservation = reservation
+	defer h.release(r)
+	return next(ctx, r)
+}
+
+// acquire tries the bound, and the exact count if the bound is refused.
+func (h *handler) acquire(ctx context.Context, r *filter.Request) (filter.Reservation, *refusal.Refusal) {
+	reservation, refused := h.budget.Acquire(ctx, r.Caller.Team, r.Bound())
+	if refused == nil || r.Route.Service != "" || refused.Ran != refusal.NotRun {
+		return reservation, refused
+	}
+	exact, ok := h.tokenizer.Count(ctx, r)
+	if !ok || exact >= r.PromptBound {
+		return nil, refused
+	}
+	h.counters.Inc("counted")
+	r.PromptBound = exact
+	return h.budget.Acquire(ctx, r.Caller.Team, r.Bound())
+}
+
+// release runs when the rest of the chain is over, also after a panic. A
+// panic leaves the reservation held, since a run may have begun.
+func (h *handler) release(r *filter.Request) {
+	if r.Reservation == nil {
+		return
+	}
+	reservation := r.Reservation
+	r.Reservation = nil
+	if p := recover(); p != nil {
+		reservation.Hold()
+		panic(p)
+	}
+	reservation.Settle(0)
+}
--- /dev/null
+++ b/internal/filter/key/setup.go
@@ -0,0 +1,33 @@
+// Package key handles idempotency keys: it finds the first attempt of a
+// request that the caller repeats, perhaps through another router.
+package key
+
+import (
+	"context"
+	"time"
+
+	"github.com/camphorlever/camphorlever/internal/filter"
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/wire"
+)
+
+// lookupTimeout bounds the search for an earlier attempt.
+const lookupTimeout = 500 * time.Millisecond
+
+// Homes names the gates at which a keyed request may run, best first. They
+// depend only on the key and on the servers that exist, so that any router
+// finds the same.
+type Homes interface {
+	Homes(r *filter.Request) []filter.Target
+}
+
+// Gates asks gates about keys.
+type Gates interface {
+	Lookup(ctx context.Context, target filter.Target, key ident.Key) (wire.LookupReply, error)
+}
+
+// New returns the filter. Attach serves an answer that already exists at the
+// request's target.
+func New(homes Homes, gates Gates, attach filter.Next) filter.Filter {
+	return &handler{homes: homes, gates: gates, attach: attach, counters: filter.Counters("key")}
+}
--- /dev/null
+++ b/internal/filter/place/handler.go
@@ -0,0 +1,38 @@
+package place
+
+import (
+	"context"
+	"time"
+
+	"github.com/camphorlever/camphorlever/internal/counter"
+	"github.com/camphorlever/camphorlever/internal/filter"
+	"github.com/camphorlever/camphorlever/internal/prefix"
+	"github.com/camphorlever/camphorlever/internal/refusal"
+)
+
+// retryAfter is what callers are told when no server can take a request.
+const retryAfter = 2 * time.Second
+
+type handler struct {
+	placer   Placer
+	counters *counter.Set
+}
+
+// Handle sets the target.
+func (h *handler) Handle(ctx context.Context, r *filter.Request, next filter.Next) filter.Outcome {
+	if r.Blocks == nil {
+		r.Blocks = prefix.Blocks(r.Contents)
+	}
+	choice, ok := h.placer.Pick(r)
+	if !ok {
+		h.counters.Inc("no_server")
+		out := filter.Refused(refusal.NoServer, refusal.NotRun, "No backend server can take the request now.")
+		out.Refusal.RetryAfter = retryAfter
+		return out
+	}
+	defer choice.Done()
+	r.Placed = choice
+	r.Target = choice.Target()
+	r.Tried = append(r.Tried, r.Target.Gate)
+	return next(ctx, r)
+}
--- /dev/null
+++ b/internal/filter/queue/pool.go
@@ -0,0 +1,174 @@
+package queue
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/camphorlever/camphorlever/internal/ident"
+)
+
+// Ticket describes a request to the queue.
+type Ticket struct {
+	Team     ident.TeamID
+	Weight   float64
+	Priority int     // 0 first
+	Cost     float64 // tokens
+}
+
+// Shed says why a request was not let in.
+type Shed struct {
+	Reason     string // the counter's name
+	RetryAfter time.Duration
+}
+
+// Reasons of Shed.
+const (
+	shedWait    = "shed_wait"    // it would have waited too long
+	shedTimeout = "shed_timeout" // it has waited too long
+	shedFull    = "shed_full"    // the queue is full of what goes before it
+	shedEvicted = "shed_evicted" // the queue is full, others go before it
+)
+
+// Estimate of how long a run holds its place.
+const (
+	firstPerToken = 1.0 / 2000 // seconds per token of cost
+	smoothing     = 0.1
+)
+
+// Pool is the queue in front of the servers of one kind. It is safe for
+// concurrent use.
+type Pool struct {
+	mu       sync.Mutex // guards all: running, the order and the estimate move together
+	running  int
+	room     func() int
+	order    order
+	perToken float64 // seconds of a place per token of cost
+}
+
+// NewPool returns an empty queue.
+func NewPool() *Pool {
+	return &Pool{perToken: firstPerToken, room: func() int { return 1 }}
+}
+
+// waiter is one waiting request.
+type waiter struct {
+	ticket  Ticket
+	start   float64 // virtual time at which its turn begins
+	ready   chan struct{}
+	granted bool
+	shed    Shed
+}
+
+// Turn is a place among the running requests.
+type Turn struct {
+	pool  *Pool
+	cost  float64
+	since time.Time
+}
+
+// Enter waits for the request's turn. It returns nil and the reason if the
+// request is shed, and nil if the context ends. Room returns how many may run.
+func (p *Pool) Enter(ctx context.Context, t Ticket, room func() int) (*Turn, Shed) {
+	t.Priority = min(max(0, t.Priority), priorities-1)
+	w, shed := p.join(t, room)
+	if w == nil {
+		return nil, shed
+	}
+	timer := time.NewTimer(MaxWait)
+	defer timer.Stop()
+	select {
+	case <-w.ready:
+	case <-timer.C:
+		p.withdraw(w, Shed{Reason: shedTimeout, RetryAfter: MaxWait})
+	case <-ctx.Done():
+		p.withdraw(w, Shed{})
+	}
+	if !w.granted {
+		return nil, w.shed
+	}
+	return &Turn{pool: p, cost: t.Cost, since: time.Now()}, Shed{}
+}
+
+// join puts a request into the order or sheds it. Waiters are changed only
+// under the lock until their ready channel is closed.
+func (p *Pool) join(t Ticket, room func() int) (*waiter, Shed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.room = room
+	if wait := p.estimate(t); wait > MaxWait {
+		return nil, Shed{Reason: shedWait, RetryAfter: wait}
+	}
+	if p.order.count >= maxWaiting && !p.evict(t) {
+		return nil, Shed{Reason: shedFull, RetryAfter: MaxWait}
+	}
+	w := &waiter{ticket: t, ready: make(chan struct{})}
+	p.order.push(w)
+	p.dispatch()
+	return w, Shed{}
+}
+
+// estimate returns how long a new request would wait.
+func (p *Pool) estimate(t Ticket) time.Duration {
+	if p.order.count == 0 && p.running < p.room() {
+		return 0
+	}
+	seconds := p.order.ahead(t) * p.perToken / float64(max(1, p.room()))
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// evict makes place for a request of a higher priority.
+func (p *Pool) evict(t Ticket) bool {
+	victim := p.order.last()
+	if victim == nil || victim.ticket.Priority <= t.Priority {
+		return false
+	}
+	p.order.remove(victim)
+	victim.shed = Shed{Reason: shedEvicted, RetryAfter: MaxWait}
+	close(victim.ready)
+	return true
+}
+
+// withdraw takes a waiter out, unless its turn came at the same moment.
+func (p *Pool) withdraw(w *waiter, shed Shed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !w.granted && p.order.remove(w) {
+		w.shed = shed
+	}
+}
+
+// Kick lets waiting requests go on if there is more room than before.
+func (p *Pool) Kick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispatch()
+}
+
+// dispatch needs the lock.
+func (p *Pool) dispatch() {
+	for p.order.count > 0 && p.running < max(1, p.room()) {
+		w := p.order.pop()
+		p.running++
+		w.granted = true
+		close(w.ready)
+	}
+}
+
+// Leave frees the place.
+func (t *Turn) Leave() {
+	p := t.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running--
+	sample := time.Since(t.since).Seconds() / t.cost
+	p.perToken += smoothing * (sample - p.perToken)
+	p.dispatch()
+}
+
+// Running returns the number of requests that have their turn.
+func (p *Pool) Running() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.running
+}
--- a/internal/filter/request.go
+++ b/internal/filter/request.go
@@ -68,6 +68,7 @@
 	// Set by place for each attempt.
 	Attempt uint32
 	Target  Target
+	Placed  Placed
 	Tried   []ident.Incarnation
 	Blocks  []uint64
 
@@ -82,6 +83,21 @@
 	Address string
 }
 
+// Placed is told how an attempt at its server goes.
+type Placed interface {
+	FirstToken() // came now
+	Failed()     // the server cannot be reached or broke the run off
+}
+
+// Unplaced is for attempts at a server that was not chosen by load.
+type Unplaced struct{}
+
+// FirstToken does nothing.
+func (Unplaced) FirstToken() {}
+
+// Failed does nothing.
+func (Unplaced) Failed() {}
+
 // Bound returns the tokens that the run may use at most.
 func (r *Request) Bound() int64 {
 	return r.PromptBound + r.MaxOutput
--- /dev/null
+++ b/internal/filter/retry/setup.go
@@ -0,0 +1,17 @@
+// Package retry repeats attempts that certainly did not run, or that may be
+// repeated, within the retry budget and the caller's deadline.
+package retry
+
+import (
+	"github.com/camphorlever/camphorlever/internal/counter"
+	"github.com/camphorlever/camphorlever/internal/filter"
+	"github.com/camphorlever/camphorlever/internal/retry"
+)
+
+// maxAttempts bounds the attempts of one request.
+const maxAttempts = 4
+
+// New returns the filter.
+func New(budget *retry.Budget) filter.Filter {
+	return &handler{budget: budget, retries: counter.NewSet("retries"), refusals: filter.Counters("retry")}
+}
--- /dev/null
+++ b/internal/filter/stream/setup.go
@@ -0,0 +1,78 @@
+// Package stream begins the run of a request at its gate, brings the answer
+// to the caller and settles what it used. It is the last filter of the chain.
+package stream
+
+import (
+	"context"
+
+	"github.com/rs/zerolog"
+
+	"github.com/camphorlever/camphorlever/internal/counter"
+	"github.com/camphorlever/camphorlever/internal/filter"
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/wire"
+)
+
+// Stream is the answer of one run, whole and in order.
+type Stream interface {
+	First() wire.Frame
+	Next() (wire.Frame, error)
+	Close()
+}
+
+// Relay opens answer streams. Its errors are those of the package relay.
+type Relay interface {
+	Begin(ctx context.Context, target filter.Target, request *wire.BeginRequest) (Stream, error)
+	Attach(ctx context.Context, target filter.Target, request *wire.ResumeRequest) (Stream, error)
+}
+
+// Gates sends control calls to gates.
+type Gates interface {
+	SealKey(ctx context.Context, target filter.Target, key ident.Key) (wire.SealKeyReply, error)
+	Cancel(ctx context.Context, target filter.Target, key ident.Key) error
+}
+
+// Copy is the router's own record of a run that it asks a gate to begin.
+type Copy struct {
+	Team    ident.TeamID
+	Account ident.AccountID
+	Holder  ident.Incarnation
+	Gate    ident.Incarnation
+	Key     ident.Key
+	Bound   int64
+}
+
+// Witness keeps copies until the ledger shows their settlement.
+type Witness interface {
+	// Track keeps a copy before its Begin is sent. False means that the
+	// gate's life is sealed: nothing may be begun there.
+	Track(c Copy) bool
+	// NotStarted drops a copy: the gate has not started it for this router.
+	NotStarted(c Copy)
+	// Finish adds the final usage of the run.
+	Finish(c Copy, run ident.RunID, usage wire.Usage)
+}
+
+// Self tells what the router is.
+type Self interface {
+	Incarnation() ident.Incarnation
+	Offsets() wire.Offsets
+}
+
+// Deps are what the filter works with.
+type Deps struct {
+	Relay    Relay
+	Gates    Gates
+	Witness  Witness
+	Self     Self
+	Log      zerolog.Logger
+}
+
+// New returns the filter.
+func New(deps Deps) filter.Filter {
+	return &handler{
+		Deps:     deps,
+		outcomes: filter.Counters("stream"),
+		begins:   counter.NewSet("begins"),
+	}
+}
--- a/internal/filter/writer.go
+++ b/internal/filter/writer.go
@@ -15,10 +15,18 @@
 	http    http.ResponseWriter
 	control *http.ResponseController
 	timeout time.Duration
-	Status  int
-	Bytes   int64
+
+	// extended is when the write deadline was last moved. Moving it for every
+	// event would cost more than writing the event.
+	extended time.Time
+
+	Status int // zero until the caller was sent something
+	Bytes  int64
 }
 
+// extendEvery is how often the write deadline moves at most.
+const extendEvery = time.Second
+
 // NewWriter wraps a response. Timeout bounds each single write.
 func NewWriter(w http.ResponseWriter, timeout time.Duration) *Writer {
 	return &Writer{http: w, control: http.NewResponseController(w), timeout: timeout}
@@ -72,5 +80,10 @@
 }
 
 func (w *Writer) extend() {
-	_ = w.control.SetWriteDeadline(time.Now().Add(w.timeout))
+	now := time.Now()
+	if now.Sub(w.extended) < extendEvery {
+		return
+	}
+	w.extended = now
+	_ = w.control.SetWriteDeadline(now.Add(w.timeout))
 }
--- /dev/null
+++ b/internal/retry/retry.go
@@ -0,0 +1,122 @@
+// Package retry decides whether a request may be tried again: a retry budget
+// that is a share of recent requests, full-jitter backoff, and the caller's
+// deadline.
+package retry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+// Defaults of a Budget.
+const (
+	// Share is how many retries are allowed per request of late.
+	Share = 0.15
+	// Window is the span that counts as of late.
+	Window = 10 * time.Second
+	// Floor is the number of retries per window that are allowed however few
+	// requests there are.
+	Floor = 3
+)
+
+// slots divides the window; the oldest slot is dropped as time goes on.
+const slots = 10
+
+// Budget bounds the retries of a router. It is safe for concurrent use.
+type Budget struct {
+	mu       sync.Mutex // guards the ring: sums cover exactly the window that ends at slot
+	requests [slots]int64
+	retries  [slots]int64
+	slot     int64 // number of the newest slot since the zero time
+}
+
+// NewBudget returns a budget without history.
+func NewBudget() *Budget {
+	return &Budget{slot: now()}
+}
+
+func now() int64 {
+	return time.Now().UnixNano() / int64(Window/slots)
+}
+
+// Request counts a request that came in.
+func (b *Budget) Request() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance()
+	b.requests[b.slot%slots]++
+}
+
+// Allow takes one retry out of the budget; false means that it is spent.
+func (b *Budget) Allow() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance()
+	var requests, retries int64
+	for i := range slots {
+		requests += b.requests[i]
+		retries += b.retries[i]
+	}
+	if retries >= Floor && float64(retries+1) > Share*float64(requests) {
+		return false
+	}
+	b.retries[b.slot%slots]++
+	return true
+}
+
+func (b *Budget) advance() {
+	current := now()
+	if current-b.slot >= slots {
+		b.requests, b.retries = [slots]int64{}, [slots]int64{}
+		b.slot = current
+		return
+	}
+	for b.slot < current {
+		b.slot++
+		b.requests[b.slot%slots] = 0
+		b.retries[b.slot%slots] = 0
+	}
+}
+
+// Backoff yields the pauses between the attempts of one request.
+type Backoff struct {
+	exponential *backoff.ExponentialBackOff
+}
+
+// Limits of a pause.
+const (
+	firstPause   = 40 * time.Millisecond
+	longestPause = 2 * time.Second
+)
+
+// NewBackoff returns full-jitter backoff: each pause is drawn evenly between
+// zero and a limit that grows.
+func NewBackoff() *Backoff {
+	e := backoff.NewExponentialBackOff()
+	// The library draws from interval ± interval, so half the limit is given.
+	e.InitialInterval = firstPause / 2
+	e.MaxInterval = longestPause / 2
+	e.RandomizationFactor = 1
+	e.Multiplier = 2
+	return &Backoff{exponential: e}
+}
+
+// Wait pauses before the next attempt. It returns false at once if the
+// context's deadline would pass meanwhile, and false when the context ends.
+func (b *Backoff) Wait(ctx context.Context) bool {
+	pause := b.exponential.NextBackOff()
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= pause {
+		return false
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
