Grants in a router's hands: admission, draws, returns, loans

Admission takes tokens from one grant or loan in hand without I/O. Short of tokens, a router draws from the ledger (one draw per team in flight, never given up), borrows from other holders and then waits a little for runs in progress. The refusal is budget_exhausted only if the ledger has just shown too little and the holders that did not answer hold too little; else budget_unreachable.

What a draw gave is read from the fold's totals, not from its verdict, so that a lost reply neither loses nor doubles tokens. Loans are numbered per lender and asked for again until the reply is seen; repayments are cumulative. A loan of a gone borrower is taken back once the Close stands in the same fold as the bills, less what the borrower's runs used: the fleet stream alone may be ahead of the ledger and would let tokens be lent twice.

wire.BorrowArgs gets Gather: near the end of a budget the lenders return their rests to the ledger, where one router can draw them as a whole.

--- /dev/null
+++ b/internal/budget/acquire.go
@@ -0,0 +1,178 @@
+package budget
+
+import (
+	"context"
+	"time"
+
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/refusal"
+)
+
+// Reserve sets tokens aside from what is in hand. It does no I/O and does not
+// allocate.
+func (g *Grants) Reserve(team ident.TeamID, tokens int64) (Reservation, Outcome) {
+	if g.fenced.Load() {
+		return Reservation{}, Fenced
+	}
+	h := g.lookup(team)
+	if h == nil || tokens <= 0 {
+		return Reservation{}, Short
+	}
+	r, low, ok := h.reserve(tokens)
+	if !ok {
+		return Reservation{}, Short
+	}
+	if low {
+		g.wake()
+	}
+	return r, Reserved
+}
+
+// wake lets the controller run before its next tick.
+func (g *Grants) wake() {
+	select {
+	case g.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Settle ends a reservation with the tokens that the run used; the rest is
+// free again at once. Zero means that it did not run.
+func (g *Grants) Settle(r Reservation, actual int64) {
+	if r.IsZero() {
+		return
+	}
+	r.hand.settle(r, min(max(actual, 0), r.tokens))
+}
+
+// Hold notes that the outcome of a run is unknown. The tokens stay reserved
+// until Settle.
+func (g *Grants) Hold(r Reservation) {
+	if !r.IsZero() {
+		g.counts.Inc("held")
+	}
+}
+
+// Times between the attempts of a request that waits.
+const (
+	firstRecheck  = 50 * time.Millisecond
+	recheckFactor = 3
+)
+
+// patience is how long a request waits for runs in progress to give back what
+// they reserved and did not use.
+const patience = 2 * time.Second
+
+// Acquire reserves tokens: from what is in hand, else by a draw, else by
+// loans, else by waiting a little for runs in progress. The refusal says
+// whether the ledger shows the budget to be spent or it cannot be known now.
+func (g *Grants) Acquire(ctx context.Context, team ident.TeamID, tokens int64) (Reservation, *refusal.Refusal) {
+	deadline := time.NewTimer(patience)
+	defer deadline.Stop()
+	h := g.hand(team)
+	for recheck := firstRecheck; ; recheck *= recheckFactor {
+		changed := h.watch()
+		r, refused := g.Try(ctx, team, tokens)
+		if refused == nil || refused.Code != refusal.BudgetExhausted && refused.Code != refusal.BudgetUnreachable {
+			h.unwatch()
+			return r, refused
+		}
+		again := h.mayChange() && waitFor(ctx, changed, recheck, deadline.C)
+		h.unwatch()
+		if !again {
+			g.counts.Inc("refused_" + string(refused.Code))
+			return Reservation{}, refused
+		}
+	}
+}
+
+// waitFor reports whether it is time for another attempt before the deadline.
+func waitFor(ctx context.Context, changed <-chan struct{}, recheck time.Duration, deadline <-chan time.Time) bool {
+	timer := time.NewTimer(recheck)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-timer.C:
+		return true
+	case <-deadline:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// watch returns a channel that is closed when tokens come free.
+func (h *hand) watch() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.waiters++
+	return h.changed
+}
+
+func (h *hand) unwatch() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.waiters--
+}
+
+// mayChange reports whether runs in progress could give tokens back.
+func (h *hand) mayChange() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.own.reserved > 0 || h.draw != nil {
+		return true
+	}
+	for _, s := range h.loans {
+		if s.reserved > 0 && !s.revoked {
+			return true
+		}
+	}
+	return false
+}
+
+// Try is Acquire without the wait for runs in progress.
+func (g *Grants) Try(ctx context.Context, team ident.TeamID, tokens int64) (Reservation, *refusal.Refusal) {
+	if tokens <= 0 {
+		return Reservation{}, refusal.New(refusal.Internal, refusal.NotRun, "a run needs a positive bound")
+	}
+	r, outcome := g.Reserve(team, tokens)
+	switch outcome {
+	case Reserved:
+		return r, nil
+	case Fenced:
+		g.counts.Inc("refused_fenced")
+		return Reservation{}, refusal.New(refusal.Stopping, refusal.NotRun, "this router has been sealed")
+	}
+	return g.fetch(ctx, g.hand(team), tokens)
+}
+
+// fetch gets tokens from the ledger or from peers until a reservation fits.
+func (g *Grants) fetch(ctx context.Context, h *hand, tokens int64) (Reservation, *refusal.Refusal) {
+	if home, ok := g.homeOf(h); ok {
+		g.borrow(ctx, h, home, tokens, false)
+		if r, outcome := g.Reserve(h.team, tokens); outcome == Reserved {
+			return r, nil
+		}
+	}
+	drawn := g.drawFor(ctx, h, tokens)
+	if r, outcome := g.Reserve(h.team, tokens); outcome == Reserved {
+		return r, nil
+	}
+	asked := g.borrowAround(ctx, h, tokens, drawn == drawExhausted)
+	if r, outcome := g.Reserve(h.team, tokens); outcome == Reserved {
+		return r, nil
+	}
+	if drawn == drawExhausted && g.sync(h).Free > 0 {
+		drawn = g.drawFor(ctx, h, tokens) // peers may have returned theirs
+		if r, outcome := g.Reserve(h.team, tokens); outcome == Reserved {
+			return r, nil
+		}
+	}
+	if drawn == drawExhausted && asked == peersHaveNone {
+		return Reservation{}, refusal.New(refusal.BudgetExhausted, refusal.NotRun,
+			"the team's prepaid budget does not cover this request")
+	}
+	return Reservation{}, refusal.New(refusal.BudgetUnreachable, refusal.NotRun,
+		"tokens of the team's budget cannot be reached now")
+}
--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,286 @@
+package budget
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/ledger"
+	"github.com/camphorlever/camphorlever/internal/refusal"
+	"github.com/camphorlever/camphorlever/internal/wire"
+)
+
+var testPolicy = Policy{Horizon: 600 * time.Second, Caution: 0.5}
+
+// acquire is Try with a refusal's code.
+func (w *world) acquire(i ident.Incarnation, tokens int64) (Reservation, refusal.Code) {
+	r, refused := w.routers[i].Try(context.Background(), "a", tokens)
+	if refused == nil {
+		return r, ""
+	}
+	require.Equal(w.t, refusal.NotRun, refused.Ran)
+	return r, refused.Code
+}
+
+func (w *world) mustAcquire(i ident.Incarnation, tokens int64) Reservation {
+	r, code := w.acquire(i, tokens)
+	require.Empty(w.t, code)
+	return r
+}
+
+func TestReserveSettleHold(t *testing.T) {
+	w := newWorld(t, 1, testPolicy)
+	w.topUp("x", 1000)
+	r := w.mustAcquire(1, 400)
+	require.EqualValues(t, 1, r.Holder())
+	w.routers[1].Hold(r)
+	_, code := w.acquire(1, 601)
+	require.Equal(t, refusal.BudgetExhausted, code, "the bound is reserved")
+	w.routers[1].Settle(r, 100)
+	w.mustAcquire(1, 900)
+	own, _ := w.free(1)
+	require.Zero(t, own, "400 - 300 unused + 600 drawn")
+}
+
+func TestTheBestFittingSourcePays(t *testing.T) {
+	h := newHand("a", 1)
+	h.own.free = 500
+	h.addLoan(2, 90, false)
+	h.addLoan(3, 100, false)
+	for _, want := range []ident.Incarnation{2, 3, 1} {
+		r, _, ok := h.reserve(80)
+		require.True(t, ok)
+		require.Equal(t, want, r.Holder())
+	}
+	_, _, ok := h.reserve(421)
+	require.False(t, ok, "two sources never pay for one run")
+}
+
+// TestRefusalsSayWhatIsKnown lists what a router may conclude under faults.
+func TestRefusalsSayWhatIsKnown(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault func(w *world)
+		want  refusal.Code
+	}{
+		{"the ledger shows it", func(w *world) {}, refusal.BudgetExhausted},
+		{"log down", func(w *world) { w.down = true }, refusal.BudgetUnreachable},
+		{"a holder cannot be asked", func(w *world) {
+			w.mustAcquire(2, 500)
+			w.mute[2] = true
+		}, refusal.BudgetUnreachable},
+		{"a sealed holder", func(w *world) {
+			w.mustAcquire(2, 500)
+			w.sealed[2] = true
+		}, refusal.BudgetUnreachable},
+		{"a holder without enough", func(w *world) {
+			w.mustAcquire(2, 100)
+			w.mute[2] = true
+		}, refusal.BudgetExhausted},
+		{"sealed itself", func(w *world) { w.routers[1].Fence() }, refusal.Stopping},
+		{"closed itself", func(w *world) { w.do(9, ledger.KindClose, ledger.Close{Holder: 1}) }, refusal.Stopping},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, 2, testPolicy)
+			w.topUp("x", 600)
+			c.fault(w)
+			w.mustNotAcquireAll(1)
+			_, code := w.acquire(1, 300)
+			require.Equal(t, c.want, code)
+		})
+	}
+}
+
+// mustNotAcquireAll leaves less than 300 free tokens in the ledger.
+func (w *world) mustNotAcquireAll(i ident.Incarnation) {
+	if free := w.state.Budget("a").Free; !w.down && free >= 300 {
+		_, _ = w.acquire(i, free-100)
+	}
+}
+
+func TestALostReplyOfTheLogCreditsOnce(t *testing.T) {
+	w := newWorld(t, 1, testPolicy)
+	w.topUp("x", 1000)
+	w.lose = true
+	r, code := w.acquire(1, 300)
+	require.Empty(t, code, "the fold shows the grant, though the verdict was lost")
+	w.lose = false
+	w.routers[1].Settle(r, 300)
+	for range 3 {
+		w.routers[1].sync(w.routers[1].hand("a"))
+	}
+	own, _ := w.free(1)
+	grant := w.state.Grant("a", 1)
+	require.Equal(t, grant.Outstanding()-300, own)
+	w.routers[1].hand("a").sync(ledger.Grant{Granted: 10})
+	older, _ := w.free(1)
+	require.Equal(t, own, older, "an older reading changes nothing")
+}
+
+func TestALostReplyOfALenderCreditsOnce(t *testing.T) {
+	w := newWorld(t, 2, testPolicy)
+	w.topUp("x", 1000)
+	w.routers[2].Settle(w.mustAcquire(2, 1000), 0)
+	w.losing = true
+	_, code := w.acquire(1, 300)
+	require.Equal(t, refusal.BudgetUnreachable, code)
+	own, _ := w.free(2)
+	require.EqualValues(t, 700, own, "lent, reply lost")
+	w.losing = false
+	w.now = w.now.Add(lenderRest)
+	_, refused := w.routers[1].Try(context.Background(), "b", 300)
+	require.Equal(t, refusal.BudgetExhausted, refused.Code, "the loan is another team's")
+	g := w.routers[1]
+	require.Equal(t, lent0, g.borrow(context.Background(), g.hand("b"), 2, 300, false))
+	_, borrowed := w.free(1)
+	require.EqualValues(t, 300, borrowed, "it was asked for again on the way")
+	w.mustAcquire(1, 300)
+	own, _ = w.free(2)
+	require.EqualValues(t, 700, own, "the same loan")
+}
+
+func TestRepaymentsAreCreditedOnce(t *testing.T) {
+	w := newWorld(t, 2, testPolicy)
+	w.topUp("x", 1000)
+	w.routers[2].Settle(w.mustAcquire(2, 1000), 0)
+	w.routers[1].Settle(w.mustAcquire(1, 300), 50)
+	g := w.routers[2]
+	for _, step := range []struct{ total, own int64 }{{100, 800}, {100, 800}, {60, 800}, {250, 950}, {999, 1000}} {
+		g.Repay(wire.RepayArgs{Borrower: 1, Team: "a", Total: step.total})
+		own, _ := w.free(2)
+		require.Equal(t, step.own, own)
+	}
+	g.Repay(wire.RepayArgs{Borrower: 7, Team: "a", Total: 5})
+	own, _ := w.free(2)
+	require.EqualValues(t, 1000, own, "a stranger repays nothing")
+}
+
+func TestLoansAreIdempotentByNumber(t *testing.T) {
+	w := newWorld(t, 1, testPolicy)
+	w.topUp("x", 1000)
+	w.routers[1].Settle(w.mustAcquire(1, 1000), 0)
+	ask := func(loan uint64) int64 {
+		return w.routers[1].Borrow(wire.BorrowArgs{Borrower: 5, Loan: loan, Team: "a", Asked: 100, Least: 100}).Tokens
+	}
+	require.EqualValues(t, []int64{100, 100, 0, 100, 0}, []int64{ask(1), ask(1), ask(3), ask(2), ask(1)})
+	own, _ := w.free(1)
+	require.EqualValues(t, 800, own)
+	w.sealed[5] = true
+	require.Zero(t, ask(3), "a sealed borrower gets nothing")
+}
+
+// TestALoanOfAGoneBorrower is taken back once the ledger holds its Close, and
+// then less what the borrower's runs used.
+func TestALoanOfAGoneBorrower(t *testing.T) {
+	w := newWorld(t, 2, testPolicy)
+	w.topUp("x", 1000)
+	w.routers[2].Settle(w.mustAcquire(2, 1000), 0)
+	w.mustAcquire(1, 300)
+	settle := ledger.Settle{Team: "a", Holder: 2, Router: 1, Run: ident.RunID{Gate: 50, Number: 1}, Key: ident.Key{1}, Tokens: 120}
+	w.sealed[1] = true
+	g := w.routers[2]
+	g.reclaim(g.hand("a"))
+	own, _ := w.free(2)
+	require.EqualValues(t, 700, own, "sealed is not closed")
+	w.do(50, ledger.KindSettle, settle)
+	w.do(9, ledger.KindClose, ledger.Close{Holder: 1})
+	for range 2 {
+		g.reclaim(g.hand("a"))
+		own, _ = w.free(2)
+		require.EqualValues(t, 880, own)
+	}
+	require.Equal(t, own, w.state.Grant("a", 2).Outstanding())
+}
+
+func TestASealedLendersLoanPaysForNothing(t *testing.T) {
+	w := newWorld(t, 2, testPolicy)
+	w.topUp("x", 1000)
+	w.routers[2].Settle(w.mustAcquire(2, 1000), 0)
+	w.routers[1].Settle(w.mustAcquire(1, 300), 0)
+	w.sealed[2] = true
+	w.tick(time.Second)
+	_, outcome := w.routers[1].Reserve("a", 100)
+	require.Equal(t, Short, outcome)
+}
+
+func TestIdleTokensGoBack(t *testing.T) {
+	w := newWorld(t, 2, testPolicy)
+	w.topUp("x", 100_000)
+	w.routers[2].Settle(w.mustAcquire(2, 50_000), 10)
+	w.routers[1].Settle(w.mustAcquire(1, 60_000), 10)
+	for range 1200 {
+		w.tick(time.Second)
+	}
+	w.tick(30 * time.Minute)
+	w.tick(time.Second)
+	budget := w.state.Budget("a")
+	require.Less(t, budget.Outstanding, int64(40_000))
+	_, borrowed := w.free(1)
+	require.Zero(t, borrowed)
+}
+
+func TestDrawsAreMadeBeforeTheyAreNeeded(t *testing.T) {
+	w := newWorld(t, 2, testPolicy)
+	w.topUp("x", 10_000_000)
+	for range 60 {
+		w.routers[1].Settle(w.mustAcquire(1, 1000), 500)
+		w.tick(time.Second)
+	}
+	own, _ := w.free(1)
+	require.Greater(t, own, int64(300_000), "ten minutes at 500 tokens a second")
+	appends := w.appends
+	for range 60 {
+		w.routers[1].Settle(w.mustAcquire(1, 1000), 500)
+	}
+	require.Equal(t, appends, w.appends, "admission from the hand appends nothing")
+}
+
+func TestReserveAllocatesNothing(t *testing.T) {
+	w := newWorld(t, 1, testPolicy)
+	w.topUp("x", 1000)
+	w.routers[1].Settle(w.mustAcquire(1, 1000), 0)
+	require.Zero(t, testing.AllocsPerRun(100, func() {
+		r, _ := w.routers[1].Reserve("a", 10)
+		w.routers[1].Settle(r, 0)
+	}))
+}
+
+func TestConcurrentReservationsNeverExceedTheHand(t *testing.T) {
+	w := newWorld(t, 1, testPolicy)
+	w.topUp("x", 1000)
+	w.routers[1].Settle(w.mustAcquire(1, 1000), 0)
+	var (
+		wg   sync.WaitGroup
+		mu   sync.Mutex
+		held int64
+	)
+	for range 8 {
+		wg.Go(func() {
+			for range 100 {
+				if r, outcome := w.routers[1].Reserve("a", 7); outcome == Reserved {
+					mu.Lock()
+					held += r.Tokens()
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	wg.Wait()
+	require.EqualValues(t, 994, held)
+}
+
+func TestHomeRoutersAgree(t *testing.T) {
+	routers := []Router{{1, "x"}, {2, "x"}, {3, "y"}}
+	require.EqualValues(t, 3, homeRouter("a", routers, "y"))
+	require.Zero(t, homeRouter("a", routers, "z"))
+	seen := map[ident.Incarnation]int{}
+	for _, team := range []ident.TeamID{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		seen[homeRouter(team, routers, "x")]++
+		require.Equal(t, homeRouter(team, routers, "x"), homeRouter(team, []Router{{2, "x"}, {1, "x"}}, "x"))
+	}
+	require.Len(t, seen, 2)
+}
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -137,6 +137,10 @@
 	Team     ident.TeamID
 	Asked    int64
 	Least    int64
+	// Gather says that the ledger has just refused the borrower for want of
+	// free tokens. A lender that has less than Least returns what it has to
+	// the ledger, where it can be drawn as a whole.
+	Gather bool
 }
 
 // BorrowReply carries the loan. Tokens is 0 if the lender has too little.
