--- a/internal/filter/parse/handler.go
+++ b/internal/filter/parse/handler.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -16,8 +18,12 @@
 	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
+// retryAfter is what callers are told when memory is short.
+const retryAfter = 5 * time.Second
+
 type handler struct {
 	counters *counter.Set
+	buffered atomic.Int64 // bytes of the bodies held or being read
 }
 
 // Handle reads the whole body, bounded in size and time, and fills in the
@@ -26,6 +32,14 @@
 	if refused := h.headers(r); refused != nil {
 		return filter.Outcome{Refusal: refused}
 	}
+	size := h.size(r)
+	defer h.buffered.Add(-size)
+	if h.buffered.Add(size) > maxBuffered {
+		h.counters.Inc("memory_full")
+		out := filter.Refused(refusal.Overloaded, refusal.NotRun, "Too many bodies are being held.")
+		out.Refusal.RetryAfter = retryAfter
+		return out
+	}
 	body, refused := h.read(r)
 	if refused != nil {
 		return filter.Outcome{Refusal: refused}
@@ -59,11 +73,25 @@
 	return nil
 }
 
-func (h *handler) read(r *filter.Request) ([]byte, *refusal.Refusal) {
-	limit := int64(defaultMaxBody)
+func maxBody(r *filter.Request) int64 {
 	if n := r.Settings.Fleet.MaxBodyBytes; n > 0 {
-		limit = int64(n)
+		return int64(n)
 	}
+	return defaultMaxBody
+}
+
+// size returns how much memory the body may take. A body of unknown length
+// counts as the longest allowed.
+func (h *handler) size(r *filter.Request) int64 {
+	limit := maxBody(r)
+	if n := r.HTTP.ContentLength; n >= 0 && n < limit {
+		return n
+	}
+	return limit
+}
+
+func (h *handler) read(r *filter.Request) ([]byte, *refusal.Refusal) {
+	limit := maxBody(r)
 	if r.HTTP.ContentLength > limit {
 		return nil, h.tooLarge(limit)
 	}
--- a/internal/filter/parse/setup.go
+++ b/internal/filter/parse/setup.go
@@ -13,6 +13,9 @@
 // defaultMaxBody is in force when the fleet settings say nothing.
 const defaultMaxBody = 4 << 20 // bytes
 
+// maxBuffered bounds the bodies that one router holds at once, in bytes.
+const maxBuffered = 256 << 20
+
 // maxKeyLength bounds an idempotency key, in bytes.
 const maxKeyLength = 256
 
--- a/internal/filter/stream/setup.go
+++ b/internal/filter/stream/setup.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 
-	"github.com/rs/zerolog"
-
 	"github.com/camphorlever/camphorlever/internal/counter"
 	"github.com/camphorlever/camphorlever/internal/filter"
 	"github.com/camphorlever/camphorlever/internal/ident"
@@ -61,11 +59,10 @@
 
 // Deps are what the filter works with.
 type Deps struct {
-	Relay    Relay
-	Gates    Gates
-	Witness  Witness
-	Self     Self
-	Log      zerolog.Logger
+	Relay   Relay
+	Gates   Gates
+	Witness Witness
+	Self    Self
 }
 
 // New returns the filter.
--- a/internal/placement/node.go
+++ b/internal/placement/node.go
@@ -29,20 +29,20 @@
 type node struct {
 	gate ident.Incarnation
 
-	mu        sync.Mutex // guards all below: in-flight numbers and history move together
-	server    *Server
-	inFlight  int
-	history   [historyLen]int32 // in flight at the end of each step
-	step      int64             // newest step in history
-	others    int               // load that was not this router's, as last reported
-	leaving   bool
-	models    []ident.ModelID // loaded now, if reported
-	slots     int
-	pace      float64 // time to the first token over the expected time, smoothed
-	samples   int
-	sampled   time.Time
-	suspect   time.Time // avoided until then
-	cache     *cache
+	mu       sync.Mutex // guards all below: in-flight numbers and history move together
+	server   *Server
+	inFlight int
+	history  [historyLen]int32 // in flight at the end of each step
+	step     int64             // newest step in history
+	others   int               // load that was not this router's, as last reported
+	leaving  bool
+	models   []ident.ModelID // loaded now, if reported
+	slots    int
+	pace     float64 // time to the first token over the expected time, smoothed
+	samples  int
+	sampled  time.Time
+	suspect  time.Time // avoided until then
+	cache    *cache
 }
 
 func newNode(s *Server, capacity int) *node {
--- /dev/null
+++ b/internal/router/placer.go
@@ -0,0 +1,56 @@
+package router
+
+import (
+	"github.com/camphorlever/camphorlever/internal/filter"
+	"github.com/camphorlever/camphorlever/internal/filter/place"
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/placement"
+)
+
+// placer lets the filters use the placement.
+type placer struct {
+	directory *directory
+	picker    *placement.Picker
+}
+
+// Pick implements place.Placer.
+func (p *placer) Pick(r *filter.Request) (place.Choice, bool) {
+	p.directory.refresh()
+	query := placement.Query{Want: want(r), Blocks: r.Blocks, Not: r.Tried}
+	for _, home := range r.Homes {
+		query.Only = append(query.Only, home.Gate)
+	}
+	run, ok := p.picker.Pick(&query)
+	if !ok {
+		return nil, false
+	}
+	return &choice{run: run, picker: p.picker}, true
+}
+
+// Homes implements key.Homes.
+func (p *placer) Homes(r *filter.Request) []filter.Target {
+	p.directory.refresh()
+	var homes []filter.Target
+	for _, s := range p.picker.Homes(want(r), r.Key) {
+		homes = append(homes, target(s))
+	}
+	return homes
+}
+
+// Room implements queue.Room.
+func (p *placer) Room(r *filter.Request) int {
+	return p.picker.Room(want(r))
+}
+
+// choice is a placed run.
+type choice struct {
+	run    *placement.Run
+	picker *placement.Picker
+}
+
+func (c *choice) Target() filter.Target { return target(c.run.Server) }
+func (c *choice) FirstToken()           { c.run.FirstToken() }
+func (c *choice) Done()                 { c.run.Done() }
+func (c *choice) Failed()               { c.picker.Failed(c.gate()) }
+
+func (c *choice) gate() ident.Incarnation { return c.run.Server.Gate }
