--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -94,3 +94,15 @@
 	}
 	return Member{}, false
 }
+
+// EndedSince returns the first of the uninterrupted incarnations up to the
+// given closed one that are all closed.
+func (v *View) EndedSince(closed ident.Incarnation) ident.Incarnation {
+	first := ident.Incarnation(1)
+	for incarnation := range v.members {
+		if incarnation < closed {
+			first = max(first, incarnation+1)
+		}
+	}
+	return first
+}
--- a/internal/stream/follower.go
+++ b/internal/stream/follower.go
@@ -95,7 +95,7 @@
 		Stream: f.spec.Stream,
 		From:   f.Offset() + 1,
 		Max:    pageEntries,
-		Wait:   pollWait,
+		Wait:   f.pollWait(),
 	})
 	if errors.Is(err, logservice.ErrTrimmed) {
 		return f.rebuild(ctx)
@@ -106,6 +106,14 @@
 	return f.apply(page)
 }
 
+// pollWait is zero as long as it is not known that the log can be read.
+func (f *Follower[F, V]) pollWait() time.Duration {
+	if f.Problem() != nil {
+		return 0
+	}
+	return pollWait
+}
+
 func (f *Follower[F, V]) failed(err error, failures int) {
 	f.mu.Lock()
 	f.problem = err
--- /dev/null
+++ b/internal/stream/stream_test.go
@@ -0,0 +1,300 @@
+package stream
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/logservice"
+	"github.com/camphorlever/camphorlever/internal/memlog"
+	"github.com/camphorlever/camphorlever/internal/record"
+)
+
+// Each fault hits a writer that adds 1 to 20; every number must count once.
+func TestBatchesAreAppliedOnceUnderFaults(t *testing.T) {
+	faults := map[string]func(*memlog.Log){
+		"none":                   func(*memlog.Log) {},
+		"down":                   func(l *memlog.Log) { l.Down(true); time.Sleep(5 * time.Minute); l.Down(false) },
+		"slow":                   func(l *memlog.Log) { l.Slow(9 * time.Second) },
+		"slower than a deadline": func(l *memlog.Log) { l.Slow(25 * time.Second); time.Sleep(5 * time.Minute); l.Slow(0) },
+		"reply lost":             func(l *memlog.Log) { l.LoseReplies(7) },
+		"entry repeated":         func(l *memlog.Log) { l.DuplicateNext(7) },
+		"repeated and lost":      func(l *memlog.Log) { l.DuplicateNext(3); l.LoseReplies(5) },
+		"every reply lost":       func(l *memlog.Log) { l.LoseReplies(memlog.Always) },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := memlog.New()
+				p := start(log, 7, 1)
+				defer p.stop()
+				other := start(log, 8, 1)
+				defer other.stop()
+				var work conc.WaitGroup
+				work.Go(func() { fault(log) })
+				for i := 1; i <= 20; i++ {
+					work.Go(func() {
+						_, err := p.writer.Submit(within(t, time.Hour), add(t, i))
+						require.NoError(t, err)
+					})
+				}
+				work.Wait()
+				synctest.Wait()
+				total, adds := p.state()
+				require.Equal(t, []int{210, 20}, []int{total, adds})
+				require.NoError(t, other.Wait(within(t, time.Hour), p.Offset()))
+				total, adds = other.state()
+				require.Equal(t, []int{210, 20}, []int{total, adds})
+			})
+		})
+	}
+}
+
+// A caller that gives up is told whether its records can still take effect.
+func TestGivingUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New()
+		p := start(log, 7, 1)
+		defer p.stop()
+		log.Down(true)
+		var first, second error
+		var work conc.WaitGroup
+		work.Go(func() { _, first = p.writer.Submit(within(t, time.Second), add(t, 1)) })
+		synctest.Wait()
+		work.Go(func() { _, second = p.writer.Submit(within(t, time.Second), add(t, 10)) })
+		work.Wait()
+		require.ErrorIs(t, first, ErrUnknown)
+		require.ErrorIs(t, second, ErrNotWritten)
+		log.Down(false)
+		_, err := p.add(t, 100)
+		require.NoError(t, err)
+		total, _ := p.state()
+		require.Equal(t, 101, total)
+	})
+}
+
+// A process that starts after everything before First is gone needs the log
+// alone, whatever the retention and however unfinished other checkpoints are.
+func TestColdStartFromCheckpoint(t *testing.T) {
+	for _, retention := range []int{40, 80, 200} {
+		synctest.Test(t, func(t *testing.T) {
+			log := memlog.New()
+			log.Retain(retention)
+			p := start(log, 7, 1)
+			defer p.stop()
+			keeper := NewCheckpointer(p.Follower, p.writer)
+			p.work.Go(func() { keeper.Run(within(t, time.Hour)) })
+			for i := range 1000 {
+				_, err := p.add(t, i)
+				require.NoError(t, err)
+				time.Sleep(time.Second)
+			}
+			late := start(log, 9, 1)
+			defer late.stop()
+			require.NoError(t, late.Wait(within(t, time.Minute), p.Offset()))
+			total, _ := late.state()
+			require.Equal(t, 999*1000/2, total)
+			require.NotZero(t, late.first)
+		})
+	}
+}
+
+// A follower that fell behind the retention keeps its old state readable and
+// takes the rebuilt one when that is complete. Without a complete checkpoint
+// it stays where it is: it never starts from nothing.
+func TestRetentionPassedWhileFollowing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New()
+		p := start(log, 7, 1)
+		defer p.stop()
+		for i := range 50 {
+			_, err := p.add(t, i)
+			require.NoError(t, err)
+		}
+		slow := NewFollower(log, sumSpec(1), p.logger)
+		require.NoError(t, slow.step(t.Context()))
+		before, _ := total(slow)
+		_, err := p.add(t, 1000)
+		require.NoError(t, err)
+		offset, snapshot, err := p.Snapshot()
+		require.NoError(t, err)
+		chunks := split(offset, snapshot, 16)
+		require.Greater(t, len(chunks), 2)
+		for i, chunk := range chunks {
+			log.Trim(testStream, offset+1)
+			require.ErrorIs(t, slow.step(t.Context()), ErrNoCheckpoint, "chunk %d", i)
+			now, _ := total(slow)
+			require.Equal(t, before, now)
+			r, err := record.New(kindCheckpoint, chunk)
+			require.NoError(t, err)
+			_, err = p.writer.Submit(within(t, time.Minute), r)
+			require.NoError(t, err)
+		}
+		require.NoError(t, slow.step(t.Context()))
+		after, _ := total(slow)
+		require.Equal(t, before+1000, after)
+		require.Equal(t, p.Offset(), slow.Offset())
+	})
+}
+
+// A checkpoint that a paused process finishes an hour late is not taken for a
+// newer one.
+func TestLateCheckpointIsHarmless(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New()
+		p := start(log, 7, 1)
+		defer p.stop()
+		_, err := p.add(t, 1)
+		require.NoError(t, err)
+		offset, old, err := p.Snapshot()
+		require.NoError(t, err)
+		for range 10 {
+			_, err = p.add(t, 1)
+			require.NoError(t, err)
+		}
+		require.NoError(t, NewCheckpointer(p.Follower, p.writer).Write(t.Context()))
+		covered := p.Offset() - 1
+		late := start(log, 8, 1)
+		defer late.stop()
+		for _, chunk := range split(offset, old, chunkBytes) {
+			r, err := record.New(kindCheckpoint, chunk)
+			require.NoError(t, err)
+			_, err = late.writer.Submit(within(t, time.Minute), r)
+			require.NoError(t, err)
+		}
+		log.Trim(testStream, covered+1)
+		fold, err := Rebuild(t.Context(), log, sumSpec(1))
+		require.NoError(t, err)
+		require.Equal(t, 11, fold.Total)
+	})
+}
+
+// Two programs of different versions agree up to the raise of the level; the
+// old one stands still there and cannot start anew from a newer checkpoint.
+func TestRaisedLevel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New()
+		oldProgram := start(log, 7, 1)
+		defer oldProgram.stop()
+		newProgram := start(log, 8, 2)
+		defer newProgram.stop()
+		raised := add(t, 100)
+		raised.Level = 2
+		verdicts, err := newProgram.writer.Submit(within(t, time.Minute), raised)
+		require.NoError(t, err)
+		require.Equal(t, []int{-1}, verdicts)
+		raise, err := record.New(kindRaise, 2)
+		require.NoError(t, err)
+		_, err = newProgram.writer.Submit(within(t, time.Minute), raise)
+		require.NoError(t, err)
+		_, err = newProgram.writer.Submit(within(t, time.Minute), raised)
+		require.NoError(t, err)
+		require.NoError(t, NewCheckpointer(newProgram.Follower, newProgram.writer).Write(t.Context()))
+		time.Sleep(time.Minute)
+		require.Equal(t, ident.Offset(1), oldProgram.Offset())
+		require.ErrorIs(t, oldProgram.Problem(), ErrUnsupported)
+		sumOld, _ := oldProgram.state()
+		sumNew, _ := newProgram.state()
+		require.Equal(t, []int{0, 100}, []int{sumOld, sumNew})
+		atOnce := NewFollower(log, sumSpec(1), zerolog.Nop())
+		require.ErrorIs(t, atOnce.step(t.Context()), ErrUnsupported)
+		require.Equal(t, ident.Offset(1), atOnce.Offset())
+		log.Trim(testStream, 3)
+		_, err = Rebuild(t.Context(), log, sumSpec(1))
+		require.Error(t, err)
+		fold, err := Rebuild(t.Context(), log, sumSpec(2))
+		require.NoError(t, err)
+		require.Equal(t, 100, fold.Total)
+	})
+}
+
+// A peer's state is taken only if it is newer, and the offset never goes back.
+func TestAdoptNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New()
+		p := start(log, 7, 1)
+		defer p.stop()
+		_, err := p.add(t, 1)
+		require.NoError(t, err)
+		_, old, err := p.Snapshot()
+		require.NoError(t, err)
+		_, err = p.add(t, 2)
+		require.NoError(t, err)
+		adopted, err := p.Adopt(old)
+		require.NoError(t, err)
+		require.False(t, adopted)
+		require.Equal(t, ident.Offset(1), p.Offset())
+		fresh := NewFollower(log, sumSpec(1), p.logger)
+		adopted, err = fresh.Adopt(old)
+		require.NoError(t, err)
+		require.True(t, adopted)
+		require.NoError(t, fresh.step(t.Context()))
+		require.Equal(t, ident.Offset(1), fresh.Offset())
+	})
+}
+
+// Random faults, three writers, a small retention and checkpoints: at the end
+// every acknowledged number counts once, no unknown one twice, and a cold
+// start finds the same state.
+func TestRandomFaults(t *testing.T) {
+	for seed := range uint64(40) {
+		synctest.Test(t, func(t *testing.T) { randomFaults(t, rand.New(rand.NewPCG(seed, 1))) })
+	}
+}
+
+func randomFaults(t *testing.T, random *rand.Rand) {
+	log := memlog.New()
+	processes := []*process{start(log, 7, 1), start(log, 8, 1), start(log, 9, 1)}
+	for _, p := range processes {
+		defer p.stop()
+	}
+	acknowledged, unknown := 0, 0
+	for range 60 {
+		switch random.IntN(8) {
+		case 0:
+			log.LoseReplies(random.IntN(4))
+		case 1:
+			log.DuplicateNext(random.IntN(3))
+		case 2:
+			log.Down(random.IntN(2) == 0)
+		case 3:
+			log.Slow(time.Duration(random.IntN(12)) * time.Second)
+		case 4:
+			p := processes[random.IntN(len(processes))]
+			// A checkpoint under faults may stay incomplete.
+			_ = NewCheckpointer(p.Follower, p.writer).Write(within(t, time.Minute))
+		}
+		p := processes[random.IntN(len(processes))]
+		switch _, err := p.writer.Submit(within(t, time.Duration(random.IntN(40))*time.Second), add(t, 1)); err {
+		case nil:
+			acknowledged++
+		case ErrUnknown:
+			unknown++
+		}
+	}
+	log.Down(false)
+	log.Slow(0)
+	log.LoseReplies(0)
+	log.DuplicateNext(0)
+	time.Sleep(10 * time.Minute)
+	sum, adds := processes[0].state()
+	require.Equal(t, sum, adds)
+	require.GreaterOrEqual(t, adds, acknowledged)
+	require.LessOrEqual(t, adds, acknowledged+unknown)
+	require.NoError(t, NewCheckpointer(processes[0].Follower, processes[0].writer).Write(t.Context()))
+	log.Trim(testStream, processes[0].Offset())
+	fold, err := Rebuild(t.Context(), logservice.Log(log), sumSpec(1))
+	require.NoError(t, err)
+	require.Equal(t, sum, fold.Total)
+}
+
+func total(f *Follower[*sum, int]) (total, adds int) {
+	f.View(func(s *sum) { total, adds = s.Total, s.Adds })
+	return total, adds
+}
--- a/internal/stream/writer.go
+++ b/internal/stream/writer.go
@@ -86,6 +86,26 @@
 	}
 }
 
+// SubmitAs writes records under an identity that the caller vouches for, in an
+// append of its own. It is for the one record that a process writes before it
+// has an identity. It fails with ErrUnknown when ctx ends first.
+func (w *Writer[F, V]) SubmitAs(ctx context.Context, identity record.Identity, records ...record.Record) ([]V, error) {
+	batch := record.Batch{Identity: identity, Records: records}
+	data, err := record.Marshal(batch)
+	if err != nil {
+		return nil, errors.Wrap(ErrNotWritten, err.Error())
+	}
+	back, err := w.resolve(ctx, identity, data)
+	if err != nil {
+		return nil, err
+	}
+	if back.lost || len(back.verdicts) != len(records) {
+		return nil, ErrUnknown
+	}
+	w.count(batch, len(data))
+	return back.verdicts, nil
+}
+
 // withdraw takes a submission out of the queue if it still stands there.
 func (w *Writer[F, V]) withdraw(s *submission[V]) error {
 	w.mu.Lock()
