--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -157,3 +157,32 @@
 		require.True(t, r1.Members().Closed(s1.Incarnation()), fmt.Sprint(r1.Members()))
 	})
 }
+
+// releases is a witness that agrees once it is told to.
+type releases chan struct{}
+
+func (r releases) Release(ctx context.Context, _ ident.Incarnation) error {
+	select {
+	case <-r:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func TestGoneVMIsSealedAndClosedOnlyAfterAcknowledgements(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		agree := make(releases)
+		r1 := w.start(fleet.RoleRouter, "r1")
+		r2 := w.start(fleet.RoleRouter, "r2")
+		s1 := w.start(fleet.RoleSide, "s1", agree)
+		time.Sleep(5 * time.Second) // the list is seen with all VMs
+		gone := r2.Incarnation()
+		w.kill(r2)
+		eventually(t, time.Minute, func() bool { return s1.Members().Sealed(gone) }, "sealed")
+		time.Sleep(time.Hour)
+		require.False(t, r1.Members().Closed(gone))
+		close(agree)
+		eventually(t, time.Minute, func() bool { return r1.Members().Closed(gone) }, "closed")
+	})
+}
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -100,7 +100,9 @@
 			require.NoError(t, late.Wait(within(t, time.Minute), p.Offset()))
 			total, _ := late.state()
 			require.Equal(t, 999*1000/2, total)
-			require.NotZero(t, late.first)
+			first, _, err := Ends(t.Context(), log, testStream)
+			require.NoError(t, err)
+			require.NotZero(t, first)
 		})
 	}
 }
