camphorctl: settings, teams, accounts, keys, top-ups, drain, status, ledger, look-up, stuck grants

Every change but the making of a key has an identifier and is repeated with it until an answer is had; the commands are tested against a router whose answers get lost.

--- /dev/null
+++ b/internal/ctl/cli.go
@@ -0,0 +1,100 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+)
+
+// Exit statuses of the command.
+const (
+	ExitRefused = 1 // a router said no, or the command is wrong
+	ExitUnknown = 3 // no answer arrived: the change may or may not be in force
+)
+
+// CLI is the command line of camphorctl.
+type CLI struct {
+	Admin   []string         `help:"Base URLs of routers' administration listeners, tried in turn." env:"CAMPHOR_ADMIN" default:"http://127.0.0.1:7200"`
+	Key     string           `help:"Operator key." env:"CAMPHOR_KEY" required:""`
+	Output  string           `help:"table or json." enum:"table,json" default:"table"`
+	Version kong.VersionFlag `help:"Print the version."`
+
+	Settings settingsCommands `cmd:"" help:"Read and change settings by path."`
+	Team     teamCommands     `cmd:"" help:"Teams."`
+	Account  accountCommands  `cmd:"" help:"Client accounts."`
+	Keys     keyCommands      `cmd:"" name:"key" help:"Callers' keys, and look-up of requests."`
+	Topup    topUpCommand     `cmd:"" help:"Add prepaid tokens to a team's budget."`
+	Budget   budgetCommand    `cmd:"" help:"Show a team's budget."`
+	Ledger   ledgerCommand    `cmd:"" help:"Show a team's ledger."`
+	Drain    drainCommand     `cmd:"" help:"Give a backend server no new work."`
+	Status   statusCommand    `cmd:"" help:"Show the members of the fleet."`
+	Grants   grantsCommands   `cmd:"" help:"Grants whose holders are gone."`
+	Destroy  destroyedCommand `cmd:"" name:"destroyed" help:"State that VMs have been destroyed, which frees what waits for them."`
+}
+
+// Session is what a command works with.
+type Session struct {
+	ctx    context.Context
+	client *Client
+	out    io.Writer
+	errs   io.Writer
+	in     io.Reader
+	json   bool
+}
+
+// NewSession returns the session of a parsed command line.
+func (cli *CLI) NewSession(ctx context.Context, in io.Reader, out, errs io.Writer) *Session {
+	notify := func(format string, args ...any) {
+		fmt.Fprintf(errs, "camphorctl: "+format+"; trying again\n", args...)
+	}
+	client := NewClient(cli.Admin, cli.Key, notify)
+	return &Session{ctx: ctx, client: client, out: out, errs: errs, in: in, json: cli.Output == "json"}
+}
+
+// ExitStatus returns the exit status for a command's error.
+func ExitStatus(err error) int {
+	var unknown *Unknown
+	if errors.As(err, &unknown) {
+		return ExitUnknown
+	}
+	return ExitRefused
+}
+
+// show prints a document for people or for programs.
+func (s *Session) show(document json.RawMessage) error {
+	if s.json {
+		return printJSON(s.out, document)
+	}
+	return printTable(s.out, document)
+}
+
+// get reads a document and prints it.
+func (s *Session) get(path string) error {
+	var document json.RawMessage
+	if err := s.client.Get(s.ctx, path, &document); err != nil {
+		return err
+	}
+	return s.show(document)
+}
+
+// write makes a repeatable call and prints its answer.
+func (s *Session) write(method, path string, body any) error {
+	var document json.RawMessage
+	if err := s.client.Write(s.ctx, method, path, body, &document); err != nil {
+		return err
+	}
+	return s.show(document)
+}
+
+// orNew returns an identifier, a new one if none is given.
+func orNew(id string) string {
+	if id != "" {
+		return id
+	}
+	return uuid.NewString()
+}
