--- /dev/null
+++ b/internal/audit/audit.go
@@ -0,0 +1,107 @@
+// Package audit folds the ledger streams of a log service on its own and adds
+// up what was billed. It shares nothing with the fleet but the fold.
+package audit
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/ledger"
+	"github.com/camphorlever/camphorlever/internal/logservice"
+	"github.com/camphorlever/camphorlever/internal/record"
+)
+
+// Run is one billed run.
+type Run struct {
+	Team   ident.TeamID
+	Key    ident.Key
+	Run    ident.RunID
+	Tokens int64
+}
+
+// Report is the state of the whole ledger.
+type Report struct {
+	Runs  []Run
+	Teams map[ident.TeamID]ledger.Budget
+}
+
+// Read folds all shards from their beginning to their present end. It fails if
+// the beginning is no longer retained.
+func Read(ctx context.Context, log logservice.Log, shards int) (Report, error) {
+	report := Report{Teams: map[ident.TeamID]ledger.Budget{}}
+	for shard := range shards {
+		if err := report.shard(ctx, log, shard, shards); err != nil {
+			return report, errors.WithMessagef(err, "ledger shard %d", shard)
+		}
+	}
+	return report, nil
+}
+
+// Overspend is the sum of what teams were billed beyond their top-ups.
+func (r Report) Overspend() int64 {
+	var sum int64
+	for _, team := range r.Teams {
+		sum += max(0, team.Billed-team.TopUps) + team.Overrun + team.Late
+	}
+	return sum
+}
+
+// Held is the sum of the tokens in grants.
+func (r Report) Held() int64 {
+	var sum int64
+	for _, team := range r.Teams {
+		sum += team.Outstanding
+	}
+	return sum
+}
+
+// Billed returns how often a key was billed.
+func (r Report) Billed(key ident.Key) int {
+	count := 0
+	for _, run := range r.Runs {
+		if run.Key == key {
+			count++
+		}
+	}
+	return count
+}
+
+// shard folds one stream.
+func (r *Report) shard(ctx context.Context, log logservice.Log, shard, shards int) error {
+	state := ledger.New(shard, shards)
+	for from := ident.Offset(0); ; {
+		page, err := log.Read(ctx, logservice.ReadRequest{Stream: ledger.StreamOf(shard), From: from})
+		if err != nil {
+			return err
+		}
+		if len(page.Entries) == 0 {
+			break
+		}
+		for _, entry := range page.Entries {
+			r.entry(state.Apply(entry.Offset, entry.Data), entry.Data)
+			from = entry.Offset + 1
+		}
+	}
+	state.EachTeam(func(team ident.TeamID, budget ledger.Budget) { r.Teams[team] = budget })
+	return nil
+}
+
+// entry takes the billed runs of one batch. A batch that cannot be decoded was
+// refused by the fold as well.
+func (r *Report) entry(verdicts []ledger.Verdict, data []byte) {
+	batch, err := record.Unmarshal(data)
+	if err != nil {
+		return
+	}
+	for i, rec := range batch.Records {
+		billed := i < len(verdicts) && verdicts[i].Outcome == ledger.Accepted && verdicts[i].Tokens > 0
+		if rec.Kind != ledger.KindSettle || !billed {
+			continue
+		}
+		if s, err := record.Decode[ledger.Settle](rec); err == nil {
+			r.Runs = append(r.Runs, Run{Team: s.Team, Key: s.Key, Run: s.Run, Tokens: verdicts[i].Tokens})
+		}
+	}
+}
