Node: a process sees its own change once its verdict is known

The verdict reached the writer before the new state was published, so offsets sent right after a change could lack it; TestNodesRegisterAndShareSettings failed in one of two runs.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -304,9 +304,12 @@
 	return ok
 }
 
-// SubmitSettings writes records to the settings stream.
+// SubmitSettings writes records to the settings stream. When it returns
+// verdicts, Settings and Offsets include them.
 func (n *Node) SubmitSettings(ctx context.Context, records ...record.Record) ([]settings.Verdict, error) {
-	return n.settingsWriter.Submit(ctx, records...)
+	verdicts, err := n.settingsWriter.Submit(ctx, records...)
+	n.publish()
+	return verdicts, err
 }
 
 // ViewSettings calls visit with the settings fold under its lock.
@@ -314,9 +317,12 @@
 	n.settings.View(visit)
 }
 
-// SubmitFleet writes records to the fleet stream.
+// SubmitFleet writes records to the fleet stream. When it returns verdicts,
+// Members and Offsets include them.
 func (n *Node) SubmitFleet(ctx context.Context, records ...record.Record) ([]fleet.Verdict, error) {
-	return n.fleetWriter.Submit(ctx, records...)
+	verdicts, err := n.fleetWriter.Submit(ctx, records...)
+	n.publish()
+	return verdicts, err
 }
 
 // ViewFleet calls visit with the fleet fold under its lock.
