--- /dev/null
+++ b/internal/engine/fake_test.go
@@ -0,0 +1,128 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"github.com/camphorlever/camphorlever/internal/gate"
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/wire"
+)
+
+// pipeListener accepts in-memory connections, so that a server can run within
+// a synctest bubble. refuse makes dials fail.
+type pipeListener struct {
+	conns  chan net.Conn
+	done   chan struct{}
+	refuse func() bool
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error   { close(l.done); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (l *pipeListener) dial(context.Context, string, string) (net.Conn, error) {
+	if l.refuse != nil && l.refuse() {
+		return nil, &net.OpError{Op: "dial", Err: fmt.Errorf("refused")}
+	}
+	ours, theirs := net.Pipe()
+	l.conns <- theirs
+	return ours, nil
+}
+
+// fakeEngine serves a script per request, in the order of their arrival.
+type fakeEngine struct {
+	mu       sync.Mutex
+	requests []string // method and path
+	handle   func(n int, w http.ResponseWriter, r *http.Request)
+	listener *pipeListener
+}
+
+func (f *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Body != nil {
+		io.Copy(io.Discard, r.Body)
+	}
+	f.mu.Lock()
+	n := len(f.requests)
+	f.requests = append(f.requests, r.Method+" "+r.URL.RequestURI())
+	f.mu.Unlock()
+	f.handle(n, w, r)
+}
+
+func (f *fakeEngine) seen() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.requests...)
+}
+
+// newFake starts the engine and returns a client of it. It must be stopped
+// before the bubble ends.
+func newFake(t *testing.T, handle func(n int, w http.ResponseWriter, r *http.Request)) (*fakeEngine, *Client, func()) {
+	t.Helper()
+	f := &fakeEngine{handle: handle}
+	f.listener = &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+	server := &http.Server{Handler: f}
+	go server.Serve(f.listener)
+	transport := NewTransport()
+	transport.DialContext = f.listener.dial
+	client := New(Config{URL: "http://engine", Logger: zerolog.Nop(), Transport: transport})
+	return f, client, func() { server.Close() }
+}
+
+// tokens writes the events from..to-1 of a stream of the given id.
+func tokens(w http.ResponseWriter, id string, from, to int) {
+	w.Header().Set("Content-Type", eventStream)
+	for i := from; i < to; i++ {
+		fmt.Fprintf(w, "data: {\"id\":%q,\"choices\":[{\"delta\":{\"content\":\"w%d\"}}]}\n\n", id, i)
+	}
+	w.(http.Flusher).Flush()
+}
+
+func finish(w http.ResponseWriter, id string, prompt, output int) {
+	fmt.Fprintf(w, "data: {\"id\":%q,\"choices\":[],\"usage\":{\"prompt_tokens\":%d,\"completion_tokens\":%d}}\n\n", id, prompt, output)
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+// recorder is a sink that keeps what it is given.
+type recorder struct {
+	events []string
+	tokens int64
+	limit  int64
+	result wire.Result
+}
+
+func (r *recorder) Result(result wire.Result) { r.result = result }
+
+func (r *recorder) Event(data []byte, tokens int64) bool {
+	if r.limit > 0 && r.tokens+tokens > r.limit {
+		return false
+	}
+	r.events = append(r.events, string(data))
+	r.tokens += tokens
+	return true
+}
+
+const chatID = "7-1"
+
+func chatJob() gate.Job {
+	return gate.Job{
+		Run:       ident.RunID{Gate: 7, Number: 1},
+		MaxOutput: 50,
+		Call:      wire.Call{Model: "m", Body: []byte(`{"model":"m","messages":[{"role":"user","content":"hi"}]}`)},
+	}
+}
--- /dev/null
+++ b/internal/gate/begin.go
@@ -0,0 +1,169 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/wire"
+)
+
+// Begin starts the run of a key, attaches to it, or refuses. The answer is
+// never nil: after a refusal it holds only the frame that tells the outcome.
+// The caller closes the answer. Begin does not wait; a caller whose offsets
+// are ahead of the gate's lets it catch up before.
+func (g *Gate) Begin(request *wire.BeginRequest) (*Answer, wire.BeginOutcome) {
+	answer, outcome := g.begin(request)
+	g.counts.Inc(outcomeNames[outcome])
+	return answer, outcome
+}
+
+func (g *Gate) begin(request *wire.BeginRequest) (*Answer, wire.BeginOutcome) {
+	own := g.Incarnation()
+	if own == 0 || request.Gate != own {
+		return refused(request, wire.BeginStranger)
+	}
+	if ahead(request.Offsets, g.config.Lives.Offsets()) {
+		return refused(request, wire.BeginBehind)
+	}
+	s := g.shardOf(request.Key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r, ok := s.runs[request.Key]; ok {
+		if r.body != request.BodyHash {
+			return refused(request, wire.BeginConflict)
+		}
+		return r.attach(request.Request, request.Attempt, request.From)
+	}
+	if ended, ok := s.ended[request.Key]; ok {
+		if ended.body != shortHash(request.BodyHash) {
+			return refused(request, wire.BeginConflict)
+		}
+		return goneAnswer(request.Request, request.Attempt, ident.RunID{Gate: own, Number: ended.number}), wire.BeginGone
+	}
+	if outcome := g.mayStart(s, request); outcome != wire.BeginStarted {
+		return refused(request, outcome)
+	}
+	return g.start(s, request)
+}
+
+// mayStart decides whether an unknown key may start. It is called under the
+// shard's lock, which SealKey, Release and Leave pass through after they have
+// made their fact visible.
+func (g *Gate) mayStart(s *shard, request *wire.BeginRequest) wire.BeginOutcome {
+	if _, ok := s.sealed[request.Key]; ok {
+		return wire.BeginSealed
+	}
+	for _, life := range [...]ident.Incarnation{request.Gate, request.Router, request.Holder} {
+		if g.config.Lives.Standing(life) != Live {
+			return wire.BeginSealed
+		}
+	}
+	if g.leaving.Load() {
+		return wire.BeginLeaving
+	}
+	if g.running.Load() >= int64(g.config.MaxRunning) || g.buffer.full() {
+		return wire.BeginFull
+	}
+	return wire.BeginStarted
+}
+
+// start registers and starts a run. It is called under the shard's lock.
+func (g *Gate) start(s *shard, request *wire.BeginRequest) (*Answer, wire.BeginOutcome) {
+	id := ident.RunID{Gate: request.Gate, Number: g.numbers.next()}
+	ctx, r := newRun(g, id, request)
+	s.runs[request.Key] = r
+	g.running.Add(1)
+	g.lastStart.Store(time.Now().UnixNano())
+	answer, _ := r.attach(request.Request, request.Attempt, request.From)
+	answer.outcome = wire.BeginStarted
+	g.buffer.started(r)
+	job := Job{
+		Run:       id,
+		Key:       request.Key,
+		Call:      request.Call,
+		MaxOutput: request.MaxOutput,
+		Priority:  request.Priority,
+		Once:      request.Once,
+	}
+	g.runs.Go(func() { g.execute(ctx, r, job) })
+	return answer, wire.BeginStarted
+}
+
+// execute runs the call to its end, settles it and wakes its readers.
+func (g *Gate) execute(ctx context.Context, r *run, job Job) {
+	outcome := g.config.Backend.Run(ctx, job, r)
+	r.finish(ctx, outcome)
+	g.running.Add(-1)
+	g.bury(g.buffer.ended(r, time.Now()))
+	g.config.Settler.Settle(r.settlement(), func() { g.settled(r) })
+}
+
+// settled marks a run whose settlement stands in the ledger.
+func (g *Gate) settled(r *run) {
+	g.numbers.settle(r.id.Number)
+	close(r.settledDone)
+	g.bury([]*run{r})
+}
+
+// bury replaces runs by tombstones if they are settled and their answers were
+// dropped.
+func (g *Gate) bury(runs []*run) {
+	for _, r := range runs {
+		if !r.buriable() {
+			continue
+		}
+		s := g.shardOf(r.key)
+		s.mu.Lock()
+		delete(s.runs, r.key)
+		s.ended[r.key] = tombstone{number: r.id.Number, body: shortHash(r.body)}
+		s.mu.Unlock()
+	}
+}
+
+// Resume attaches to the answer of a key.
+func (g *Gate) Resume(request *wire.ResumeRequest) (*Answer, wire.BeginOutcome) {
+	answer, outcome := g.resume(request)
+	answer.request, answer.attempt = request.Request, request.Attempt
+	answer.outcome = outcome
+	g.counts.Inc("resume_" + outcomeNames[outcome])
+	return answer, outcome
+}
+
+func (g *Gate) resume(request *wire.ResumeRequest) (*Answer, wire.BeginOutcome) {
+	own := g.Incarnation()
+	if own == 0 || request.Gate != own {
+		return &Answer{}, wire.BeginStranger
+	}
+	s := g.shardOf(request.Key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r, ok := s.runs[request.Key]; ok {
+		return r.attach(request.Request, request.Attempt, request.From)
+	}
+	if ended, ok := s.ended[request.Key]; ok {
+		return goneAnswer(request.Request, request.Attempt, ident.RunID{Gate: own, Number: ended.number}), wire.BeginGone
+	}
+	if _, ok := s.sealed[request.Key]; ok {
+		return &Answer{}, wire.BeginSealed
+	}
+	return &Answer{}, wire.BeginUnknown
+}
+
+func ahead(theirs, own wire.Offsets) bool {
+	return theirs.Settings > own.Settings || theirs.Fleet > own.Fleet
+}
+
+var outcomeNames = map[wire.BeginOutcome]string{
+	wire.BeginStarted:  "started",
+	wire.BeginRunning:  "running",
+	wire.BeginDone:     "done",
+	wire.BeginGone:     "gone",
+	wire.BeginSealed:   "sealed",
+	wire.BeginLeaving:  "leaving",
+	wire.BeginBehind:   "behind",
+	wire.BeginConflict: "conflict",
+	wire.BeginFull:     "full",
+	wire.BeginUnknown:  "unknown",
+	wire.BeginStranger: "stranger",
+}
--- /dev/null
+++ b/internal/gate/doc.go
@@ -0,0 +1,30 @@
+// Package gate is the one place where a run starts at a backend server. It
+// keeps everything in memory and does no I/O of its own.
+//
+// Invariants, for one incarnation of the gate:
+//
+//   - A key starts at most once, whether or not it may be repeated. Keys that
+//     have run are remembered as long as the gate lives, also after their
+//     answers were dropped.
+//   - After SealKey has answered KeyUnknown or KeySealed the key never starts.
+//   - After Release of a life has passed its barrier nothing starts that the
+//     life began or pays for.
+//   - After Leave has returned no further key starts.
+//   - No run is billed more than its bound.
+//
+// All four starting rules are decided in Begin under the lock of the key's
+// shard. Release and Leave first make their fact visible and then pass through
+// the lock of every shard, so a Begin that has not seen the fact is over.
+//
+// Begin checks in this order: incarnation, offsets, a known key (attach, or
+// conflict), a sealed key, the standing of the router and of the holder,
+// leaving, room. A retry attaches to its run also when the gate is leaving or
+// its router is sealed, since attaching starts nothing.
+//
+// Memory is bounded by Config.BufferBytes for all answers together. What is
+// dropped first: answers past their retention, then finished answers oldest
+// first, then what all readers of the largest running answer have read, then
+// the oldest events of that answer whether read or not (its slow readers are
+// disconnected and told BeginGone when they come back). A new key is refused
+// with BeginFull while running answers alone fill the buffer.
+package gate
--- /dev/null
+++ b/internal/gate/fakes_test.go
@@ -0,0 +1,161 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/ledger"
+	"github.com/camphorlever/camphorlever/internal/wire"
+)
+
+const own = ident.Incarnation(7)
+
+// fakeBackend runs calls by a script and counts them by key.
+type fakeBackend struct {
+	script func(ctx context.Context, job Job, sink Sink) Outcome
+	mu     sync.Mutex
+	runs   map[ident.Key]int
+}
+
+func (b *fakeBackend) Run(ctx context.Context, job Job, sink Sink) Outcome {
+	b.mu.Lock()
+	b.runs[job.Key]++
+	b.mu.Unlock()
+	return b.script(ctx, job, sink)
+}
+
+func (b *fakeBackend) started(key ident.Key) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[key]
+}
+
+// fakeLives has every life live but for the sealed one.
+type fakeLives struct {
+	sealed  atomic.Uint64
+	offsets wire.Offsets
+}
+
+func (l *fakeLives) Standing(i ident.Incarnation) Standing {
+	if uint64(i) == l.sealed.Load() {
+		return Sealed
+	}
+	return Live
+}
+
+func (l *fakeLives) Offsets() wire.Offsets { return l.offsets }
+
+// fakeSettler settles at once, or when let if held.
+type fakeSettler struct {
+	mu      sync.Mutex
+	held    bool
+	billed  []ledger.Settle
+	waiting []func()
+}
+
+func (s *fakeSettler) Settle(settlement ledger.Settle, settled func()) {
+	s.mu.Lock()
+	s.billed = append(s.billed, settlement)
+	if s.held {
+		s.waiting = append(s.waiting, settled)
+		s.mu.Unlock()
+		return
+	}
+	s.mu.Unlock()
+	settled()
+}
+
+func (s *fakeSettler) release() {
+	s.mu.Lock()
+	waiting := s.waiting
+	s.held, s.waiting = false, nil
+	s.mu.Unlock()
+	for _, settled := range waiting {
+		settled()
+	}
+}
+
+func (s *fakeSettler) tokens(key ident.Key) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.billed {
+		if b.Key == key {
+			return b.Tokens
+		}
+	}
+	return -1
+}
+
+// bench is a gate with its fakes.
+type bench struct {
+	*Gate
+	backend *fakeBackend
+	lives   *fakeLives
+	settler *fakeSettler
+}
+
+func newBench(script func(ctx context.Context, job Job, sink Sink) Outcome) *bench {
+	b := &bench{
+		backend: &fakeBackend{script: script, runs: map[ident.Key]int{}},
+		lives:   &fakeLives{},
+		settler: &fakeSettler{},
+	}
+	b.Gate = New(Config{Backend: b.backend, Lives: b.lives, Settler: b.settler, Logger: zerolog.Nop()})
+	b.Open(own)
+	return b
+}
+
+// words is a script that answers with n events of one token each.
+func words(n int) func(context.Context, Job, Sink) Outcome {
+	return func(ctx context.Context, _ Job, sink Sink) Outcome {
+		for range n {
+			if !sink.Event([]byte("word"), 1) {
+				return Outcome{Reached: true}
+			}
+		}
+		return Outcome{Complete: true, Reached: true, Prompt: 10, PromptKnown: true}
+	}
+}
+
+// untilStopped is a script that answers one event and then hangs.
+func untilStopped(ctx context.Context, _ Job, sink Sink) Outcome {
+	sink.Event([]byte("word"), 1)
+	<-ctx.Done()
+	return Outcome{Reached: true, Prompt: 10, PromptKnown: true}
+}
+
+func keyOf(n int) ident.Key {
+	return ident.HashKey("team", string(rune('a'+n)))
+}
+
+func beginOf(key ident.Key) *wire.BeginRequest {
+	return &wire.BeginRequest{
+		Request: ident.NewNonce(), Attempt: 3, Key: key, BodyHash: ident.HashKey("body", "1"),
+		Team: "team", Router: 3, Holder: 4, Gate: own, Bound: 100, MaxOutput: 80,
+	}
+}
+
+// readAll reads an answer to its end.
+func readAll(t *testing.T, a *Answer) []wire.Frame {
+	t.Helper()
+	var frames []wire.Frame
+	for {
+		frame, err := a.Next(t.Context())
+		if err != nil {
+			return frames
+		}
+		require.Equal(t, a.request, frame.Request)
+		require.Equal(t, a.attempt, frame.Attempt)
+		if frame.Kind != wire.FrameHeartbeat {
+			frames = append(frames, frame)
+		}
+	}
+}
+
+func last(frames []wire.Frame) wire.Frame { return frames[len(frames)-1] }
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,166 @@
+package gate
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/camphorlever/camphorlever/internal/counter"
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/wire"
+)
+
+// Defaults of Config.
+const (
+	DefaultBufferBytes = 64 << 20
+	DefaultRetention   = 120 * time.Second
+	DefaultMaxRunning  = 256
+	// ReaderGrace is how long a run goes on without a reader. It leaves a
+	// caller time to come back through another router.
+	ReaderGrace = 30 * time.Second
+)
+
+// Config holds what a gate needs. Backend, Lives and Settler are required.
+type Config struct {
+	Backend     Backend
+	Lives       Lives
+	Settler     Settler
+	Logger      zerolog.Logger
+	BufferBytes int64         // of all answers together
+	Retention   time.Duration // of finished answers
+	MaxRunning  int           // runs at once
+}
+
+// Gate starts runs and keeps their answers. It is safe for concurrent use.
+type Gate struct {
+	config      Config
+	log         zerolog.Logger
+	counts      *counter.Set
+	incarnation atomic.Uint64
+	leaving     atomic.Bool
+	running     atomic.Int64
+	numbers     numbers
+	lastStart   atomic.Int64 // Unix nanoseconds
+	shards      [shardCount]shard
+	buffer      buffer
+	runs        conc.WaitGroup
+}
+
+// New returns a gate that refuses every key until Open.
+func New(config Config) *Gate {
+	if config.BufferBytes <= 0 {
+		config.BufferBytes = DefaultBufferBytes
+	}
+	if config.Retention <= 0 {
+		config.Retention = DefaultRetention
+	}
+	if config.MaxRunning <= 0 {
+		config.MaxRunning = DefaultMaxRunning
+	}
+	g := &Gate{
+		config: config,
+		log:    config.Logger.With().Str("part", "gate").Logger(),
+		counts: counter.NewSet("gate"),
+	}
+	for i := range g.shards {
+		g.shards[i].init()
+	}
+	g.numbers.init()
+	g.buffer.init(config.BufferBytes, config.Retention)
+	return g
+}
+
+// Open sets the gate's own incarnation, once, after its registration was read
+// back from the fleet stream.
+func (g *Gate) Open(incarnation ident.Incarnation) {
+	if !g.incarnation.CompareAndSwap(0, uint64(incarnation)) {
+		panic("gate: opened twice")
+	}
+	g.log.Info().Uint64("incarnation", uint64(incarnation)).Msg("open")
+}
+
+// Incarnation returns the gate's own incarnation, zero before Open.
+func (g *Gate) Incarnation() ident.Incarnation {
+	return ident.Incarnation(g.incarnation.Load())
+}
+
+// SetLimits changes the limits of the answer buffer. Values that are not
+// positive leave the limit as it is.
+func (g *Gate) SetLimits(bufferBytes int64, retention time.Duration) {
+	g.buffer.setLimits(bufferBytes, retention)
+	g.bury(g.buffer.shrink(time.Now()))
+}
+
+// Running returns the number of runs in progress.
+func (g *Gate) Running() int {
+	return int(g.running.Load())
+}
+
+// LastStart returns when the last run started.
+func (g *Gate) LastStart() time.Time {
+	return time.Unix(0, g.lastStart.Load())
+}
+
+// Leaving reports whether the gate refuses new keys.
+func (g *Gate) Leaving() bool {
+	return g.leaving.Load()
+}
+
+// Leave makes the gate refuse new keys for good. When it returns no Begin that
+// had not seen the change is still under way.
+func (g *Gate) Leave() {
+	if g.leaving.Swap(true) {
+		return
+	}
+	g.barrier()
+	g.log.Info().Int("running", g.Running()).Msg("leaving")
+}
+
+// barrier returns after every Begin that was within its shard's lock is over.
+func (g *Gate) barrier() {
+	for i := range g.shards {
+		g.shards[i].mu.Lock()
+		//lint:ignore SA2001 passing through the lock is the purpose
+		g.shards[i].mu.Unlock()
+	}
+}
+
+// Sweep drops answers past their retention. The owner calls it every second
+// or so.
+func (g *Gate) Sweep() {
+	g.bury(g.buffer.shrink(time.Now()))
+}
+
+// Drain waits until every run is over and settled. It is meant for after
+// Leave. progress is called with the number of unsettled runs each second.
+func (g *Gate) Drain(ctx context.Context, progress func(unsettled int)) error {
+	for {
+		pending := g.unsettled(func(*run) bool { return true })
+		if len(pending) == 0 {
+			return nil
+		}
+		progress(len(pending))
+		if err := waitFor(ctx, pending, time.Second); err != nil {
+			return err
+		}
+	}
+}
+
+// Stop cancels the runs still in progress and waits for their end.
+func (g *Gate) Stop() {
+	for _, r := range g.unsettled(func(*run) bool { return true }) {
+		r.cancel(errStopped)
+	}
+	g.runs.Wait()
+}
+
+func (g *Gate) shardOf(key ident.Key) *shard {
+	return &g.shards[key[0]%shardCount]
+}
+
+func refused(request *wire.BeginRequest, outcome wire.BeginOutcome) (*Answer, wire.BeginOutcome) {
+	return &Answer{request: request.Request, attempt: request.Attempt, outcome: outcome}, outcome
+}
