--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -83,6 +83,9 @@
 	Role     string
 	Service  time.Duration // recent time to the first token
 	Cache    CacheView
+	// Unreachable tells that the backend server does not answer its side
+	// process; the other fields are older then.
+	Unreachable bool
 }
 
 // CacheView is what the engine has told of its prefix cache. Entries are
