--- /dev/null
+++ b/cmd/camphor-side/main.go
@@ -0,0 +1,110 @@
+// Command camphor-side is the process beside a backend server: every run of
+// the server starts through it.
+package main
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/camphorlever/camphorlever/internal/logservice"
+	"github.com/camphorlever/camphorlever/internal/options"
+	"github.com/camphorlever/camphorlever/internal/side"
+	"github.com/camphorlever/camphorlever/internal/vmlist"
+)
+
+const (
+	version           = "0.1.0"
+	readHeaderTimeout = 5 * time.Second
+)
+
+type flags struct {
+	Config  string           `required:"" help:"Settings file (JSON)." type:"path"`
+	Check   bool             `help:"Check the settings file and exit."`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+}
+
+func main() {
+	var cli flags
+	kong.Parse(&cli,
+		kong.Name("camphor-side"),
+		kong.Description("Side process of a backend server. Stops gracefully on SIGTERM and SIGINT."),
+		kong.Vars{"version": version})
+	settings := side.DefaultOptions()
+	if err := options.Load(cli.Config, &settings); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(options.ExitStatus)
+	}
+	level, err := zerolog.ParseLevel(settings.LogLevel)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "log_level: want debug, info, warn or error, got %q\n", settings.LogLevel)
+		os.Exit(options.ExitStatus)
+	}
+	if cli.Check {
+		return
+	}
+	logger := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("vm", string(settings.VM)).Logger()
+	if err := run(settings, logger); err != nil {
+		logger.Error().Err(err).Msg("stopped")
+		os.Exit(1)
+	}
+}
+
+// run serves until a signal. A second signal ends the process at once.
+func run(settings side.Options, logger zerolog.Logger) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	context.AfterFunc(ctx, stop)
+	listener, err := side.Listen(ctx, settings.InternalListen)
+	if err != nil {
+		return err
+	}
+	if settings.InternalAdvertise == "" {
+		settings.InternalAdvertise = listener.Addr().String()
+	}
+	process, err := side.New(settings, platform(settings), logger)
+	if err != nil {
+		return err
+	}
+	if settings.DebugListen != "" {
+		debug, err := net.Listen("tcp", settings.DebugListen)
+		if err != nil {
+			return errors.Wrap(err, "bind the debug listener")
+		}
+		server := &http.Server{Handler: debugHandler(process), ReadHeaderTimeout: readHeaderTimeout}
+		go func() { _ = server.Serve(debug) }() // ends with the process
+		defer server.Close()
+	}
+	return process.Run(ctx, listener)
+}
+
+func platform(settings side.Options) side.Platform {
+	client := &http.Client{}
+	return side.Platform{
+		Log:     logservice.NewHTTP(settings.PlatformURL, client),
+		VMs:     vmlist.NewHTTP(settings.PlatformURL, client),
+		Weights: side.NewWeights(settings.PlatformURL, client),
+	}
+}
+
+func debugHandler(process *side.Process) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := process.Ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -21,6 +21,8 @@
 	// ReaderGrace is how long a run goes on without a reader. It leaves a
 	// caller time to come back through another router.
 	ReaderGrace = 30 * time.Second
+	// firstEventWeight is the divisor of a new sample of FirstEvent.
+	firstEventWeight = 8
 )
 
 // Config holds what a gate needs. Backend, Lives and Settler are required.
@@ -44,6 +46,7 @@
 	running     atomic.Int64
 	numbers     numbers
 	lastStart   atomic.Int64 // Unix nanoseconds
+	firstEvent  atomic.Int64 // smoothed time from start to first event, nanoseconds
 	shards      [shardCount]shard
 	buffer      buffer
 	runs        conc.WaitGroup
@@ -104,6 +107,22 @@
 	return time.Unix(0, g.lastStart.Load())
 }
 
+// FirstEvent returns the recent time from the start of a run to its first
+// event, exponentially smoothed.
+func (g *Gate) FirstEvent() time.Duration {
+	return time.Duration(g.firstEvent.Load())
+}
+
+// noteFirstEvent may lose a sample to a concurrent one.
+func (g *Gate) noteFirstEvent(took time.Duration) {
+	old := g.firstEvent.Load()
+	if old == 0 {
+		g.firstEvent.Store(int64(took))
+		return
+	}
+	g.firstEvent.Store(old + (int64(took)-old)/firstEventWeight)
+}
+
 // Leaving reports whether the gate refuses new keys.
 func (g *Gate) Leaving() bool {
 	return g.leaving.Load()
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -47,6 +47,8 @@
 	cancel      context.CancelCauseFunc
 	settledDone chan struct{} // closed when the settlement was read back
 	size        atomic.Int64  // bytes of the retained events
+	started     time.Time
+	answered    bool // the first event came; only the backend's goroutine touches it
 
 	// mu guards the answer and its readers. It is held for memory operations
 	// only and is the innermost lock but for that of the buffer, which is
@@ -82,6 +84,7 @@
 		plain:       request.Call.Service != "",
 		keep:        request.Once,
 		cancel:      cancel,
+		started:     time.Now(),
 		settledDone: make(chan struct{}),
 		readers:     make(map[*Answer]struct{}, 1),
 	}
@@ -102,6 +105,10 @@
 
 // Event implements Sink. It never waits for a reader.
 func (r *run) Event(data []byte, tokens int64) bool {
+	if !r.answered {
+		r.answered = true
+		r.gate.noteFirstEvent(time.Since(r.started))
+	}
 	if !r.take(data, tokens) {
 		r.gate.counts.Inc("cut_off")
 		return false
--- a/internal/side/methods.go
+++ b/internal/side/methods.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/camphorlever/camphorlever/internal/gate"
+	"github.com/camphorlever/camphorlever/internal/node"
 	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
@@ -26,71 +27,65 @@
 
 // Methods are the control methods that routers call by net/rpc.
 type Methods struct {
-	Gate    *gate.Gate
-	Fleet   Fleet
-	Counter PromptCounter
-	Loads   LoadSource
-	Leaver  Leaver
+	node.Service // Ping and State
+	gate         *gate.Gate
+	fleet        Fleet
+	counter      PromptCounter
+	loads        LoadSource
+	leaver       Leaver
 }
 
 // SealKey is wire.MethodSideSealKey. A caller that means another incarnation
 // learns the own one, and nothing is sealed.
 func (m *Methods) SealKey(args *wire.SealKeyArgs, reply *wire.SealKeyReply) error {
-	reply.Offsets = m.Fleet.Offsets()
-	reply.Gate = m.Gate.Incarnation()
+	reply.Offsets = m.fleet.Offsets()
+	reply.Gate = m.gate.Incarnation()
 	if args.Gate != reply.Gate {
 		return nil
 	}
-	reply.Was = m.Gate.SealKey(args.Key)
+	reply.Was = m.gate.SealKey(args.Key)
 	return nil
 }
 
 // Lookup is wire.MethodSideLookup.
 func (m *Methods) Lookup(args *wire.LookupArgs, reply *wire.LookupReply) error {
-	reply.Offsets = m.Fleet.Offsets()
-	reply.Gate = m.Gate.Incarnation()
-	reply.State, reply.Run = m.Gate.Lookup(args.Key)
+	reply.Offsets = m.fleet.Offsets()
+	reply.Gate = m.gate.Incarnation()
+	reply.State, reply.Run = m.gate.Lookup(args.Key)
 	return nil
 }
 
 // Cancel is wire.MethodSideCancel.
 func (m *Methods) Cancel(args *wire.CancelArgs, reply *wire.CancelReply) error {
-	reply.Offsets = m.Fleet.Offsets()
-	m.Gate.Cancel(args.Key)
+	reply.Offsets = m.fleet.Offsets()
+	m.gate.Cancel(args.Key)
 	return nil
 }
 
 // Load is wire.MethodSideLoad.
 func (m *Methods) Load(_ *wire.LoadArgs, reply *wire.LoadReply) error {
-	*reply = m.Loads.Load()
-	reply.Offsets = m.Fleet.Offsets()
-	reply.Gate = m.Gate.Incarnation()
-	reply.Leaving = m.Gate.Leaving()
+	*reply = m.loads.Load()
+	reply.Offsets = m.fleet.Offsets()
+	reply.Gate = m.gate.Incarnation()
+	reply.Leaving = m.gate.Leaving()
 	return nil
 }
 
 // Count is wire.MethodSideCount.
 func (m *Methods) Count(args *wire.CountArgs, reply *wire.CountReply) error {
-	tokens, err := m.Counter.Tokenize(context.Background(), args.Body)
+	tokens, err := m.counter.Tokenize(context.Background(), args.Body)
 	if err != nil {
 		return errors.Wrap(err, "count prompt tokens")
 	}
-	reply.Offsets = m.Fleet.Offsets()
+	reply.Offsets = m.fleet.Offsets()
 	reply.Tokens = tokens
 	return nil
 }
 
 // Leave is wire.MethodSideLeave.
 func (m *Methods) Leave(args *wire.LeaveArgs, reply *wire.LeaveReply) error {
-	m.Leaver.Leave("order of operator " + string(args.Author))
-	reply.Offsets = m.Fleet.Offsets()
-	reply.Running = m.Gate.Running()
-	return nil
-}
-
-// Ping answers a heartbeat.
-func (m *Methods) Ping(_ *wire.PingArgs, reply *wire.PingReply) error {
-	reply.Offsets = m.Fleet.Offsets()
-	reply.Incarnation = m.Gate.Incarnation()
+	m.leaver.Leave("order of operator " + string(args.Author))
+	reply.Offsets = m.fleet.Offsets()
+	reply.Running = m.gate.Running()
 	return nil
 }
