--- /dev/null
+++ b/internal/side/methods.go
@@ -0,0 +1,91 @@
+package side
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/camphorlever/camphorlever/internal/gate"
+	"github.com/camphorlever/camphorlever/internal/node"
+	"github.com/camphorlever/camphorlever/internal/wire"
+)
+
+// PromptCounter counts prompt tokens at the engine.
+type PromptCounter interface {
+	Tokenize(ctx context.Context, body []byte) (int64, error)
+}
+
+// LoadSource tells what the side process knows of its backend server.
+type LoadSource interface {
+	Load() wire.LoadReply
+}
+
+// Leaver starts the graceful stop of this side process.
+type Leaver interface {
+	Leave(reason string)
+}
+
+// Methods are the control methods that routers call by net/rpc.
+type Methods struct {
+	node.Service // Ping and State
+	gate         *gate.Gate
+	fleet        Fleet
+	counter      PromptCounter
+	loads        LoadSource
+	leaver       Leaver
+}
+
+// SealKey is wire.MethodSideSealKey. A caller that means another incarnation
+// learns the own one, and nothing is sealed.
+func (m *Methods) SealKey(args *wire.SealKeyArgs, reply *wire.SealKeyReply) error {
+	reply.Offsets = m.fleet.Offsets()
+	reply.Gate = m.gate.Incarnation()
+	if args.Gate != reply.Gate {
+		return nil
+	}
+	reply.Was = m.gate.SealKey(args.Key)
+	return nil
+}
+
+// Lookup is wire.MethodSideLookup.
+func (m *Methods) Lookup(args *wire.LookupArgs, reply *wire.LookupReply) error {
+	reply.Offsets = m.fleet.Offsets()
+	reply.Gate = m.gate.Incarnation()
+	reply.State, reply.Run = m.gate.Lookup(args.Key)
+	return nil
+}
+
+// Cancel is wire.MethodSideCancel.
+func (m *Methods) Cancel(args *wire.CancelArgs, reply *wire.CancelReply) error {
+	reply.Offsets = m.fleet.Offsets()
+	m.gate.Cancel(args.Key)
+	return nil
+}
+
+// Load is wire.MethodSideLoad.
+func (m *Methods) Load(_ *wire.LoadArgs, reply *wire.LoadReply) error {
+	*reply = m.loads.Load()
+	reply.Offsets = m.fleet.Offsets()
+	reply.Gate = m.gate.Incarnation()
+	reply.Leaving = m.gate.Leaving()
+	return nil
+}
+
+// Count is wire.MethodSideCount.
+func (m *Methods) Count(args *wire.CountArgs, reply *wire.CountReply) error {
+	tokens, err := m.counter.Tokenize(context.Background(), args.Body)
+	if err != nil {
+		return errors.Wrap(err, "count prompt tokens")
+	}
+	reply.Offsets = m.fleet.Offsets()
+	reply.Tokens = tokens
+	return nil
+}
+
+// Leave is wire.MethodSideLeave.
+func (m *Methods) Leave(args *wire.LeaveArgs, reply *wire.LeaveReply) error {
+	m.leaver.Leave("order of operator " + string(args.Author))
+	reply.Offsets = m.fleet.Offsets()
+	reply.Running = m.gate.Running()
+	return nil
+}
