Router: thin whole path from caller to side process

Chain, directory, load polls, budget, claims, stop; camphor-router runs on node, budget and the HTTP log client.

--- /dev/null
+++ b/internal/router/state.go
@@ -0,0 +1,36 @@
+package router
+
+import (
+	"sync/atomic"
+
+	"github.com/camphorlever/camphorlever/internal/refusal"
+)
+
+// state tells whether the router serves. The zero value does not.
+type state struct {
+	started  atomic.Bool
+	stopping atomic.Bool
+	ready    func() error // of the node
+}
+
+// Refusal implements serving.State.
+func (s *state) Refusal() *refusal.Refusal {
+	if s.stopping.Load() {
+		return refusal.New(refusal.Stopping, refusal.NotRun, "The router is being stopped.")
+	}
+	if err := s.Ready(); err != nil {
+		return refusal.New(refusal.NotReady, refusal.NotRun, "The router is not ready: "+err.Error()+".")
+	}
+	return nil
+}
+
+// Ready returns nil when the balancer may send requests.
+func (s *state) Ready() error {
+	if s.stopping.Load() {
+		return errStopping
+	}
+	if !s.started.Load() {
+		return errNotServing
+	}
+	return s.ready()
+}
--- /dev/null
+++ b/internal/router/stop.go
@@ -0,0 +1,81 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Stop ends the process without cutting off a request: it tells the balancer,
+// refuses what is new, finishes what runs, settles, returns the grants and
+// deregisters. Requests in progress are waited for until ctx ends. What could
+// not be settled or returned is left to the fleet: the process then does not
+// deregister, and returns an error.
+func (r *Router) Stop(ctx context.Context) (err error) {
+	r.stop.Do(func() { err = r.stopOnce(ctx) })
+	return err
+}
+
+func (r *Router) stopOnce(ctx context.Context) error {
+	r.log.Info().Msg("router stops")
+	r.state.stopping.Store(true)
+	close(r.stopBegun)
+	pause(ctx, unreadyPause)
+	err := r.finishRequests(ctx)
+	if err == nil {
+		err = r.leaveFleet()
+	} else {
+		r.node.Abandon()
+	}
+	if r.cancel != nil {
+		r.cancel()
+	}
+	if grants := r.grants.Load(); grants != nil {
+		grants.Close()
+	}
+	r.closeListeners()
+	r.relay.Close()
+	r.work.Wait()
+	return err
+}
+
+// finishRequests waits for every request in progress.
+func (r *Router) finishRequests(ctx context.Context) error {
+	if r.callers == nil {
+		return nil
+	}
+	return errors.Wrap(r.callers.Shutdown(ctx), "requests in progress")
+}
+
+// leaveFleet settles, returns the grants and deregisters.
+func (r *Router) leaveFleet() error {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	if err := r.witness.flush(ctx); err != nil {
+		r.node.Abandon()
+		return errors.Wrap(err, "settle")
+	}
+	if err := r.returnGrants(ctx); err != nil {
+		r.node.Abandon()
+		return errors.Wrap(err, "return grants")
+	}
+	return r.node.Stop(ctx)
+}
+
+func (r *Router) closeListeners() {
+	for _, server := range []interface{ Close() error }{r.callers, r.internal, r.admin} {
+		if server != nil {
+			_ = server.Close() // nothing is in progress any more
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
