--- a/cmd/camphor-load/main.go
+++ b/cmd/camphor-load/main.go
@@ -21,6 +21,7 @@
 type flags struct {
 	Send  sendCommand  `cmd:"" help:"Send requests and check their answers."`
 	Audit auditCommand `cmd:"" help:"Fold the ledger from the log and add it up."`
+	Call  callCommand  `cmd:"" help:"Make one HTTP call, as the demo does on the stand-ins."`
 }
 
 type sendCommand struct {
