Random schedules of grants, loans, seals and settlements

internal/measure/schedules drives the real grants and the real ledger fold of three routers, with a model of the gates, the fleet stream and the two witnesses, through cuts, pauses, deaths, seals of living processes, lost and repeated appends, late messages and checkpoints. At the end every run whose answer was delivered is billed once, unless both witnesses died.

Found and mended with it: Settle.Floor reached into its own batch and dropped settlements behind it; it now counts once the batch is folded. A router took a call of unknown outcome for not run once the gate was closed, though the gate had settled it before: the fold now keeps what each key was billed for (BilledKey) and from where on it may have forgotten (BillHorizon). The window of billed keys is 8192 a shard and that of claims 16384, for their memory.

A loan given twice or a repayment counted twice passes here, since the lender only loses by it; the tests of internal/budget find both.

--- a/cmd/camphor-measure/main.go
+++ b/cmd/camphor-measure/main.go
@@ -10,11 +10,13 @@
 
 	"github.com/camphorlever/camphorlever/internal/measure"
 	"github.com/camphorlever/camphorlever/internal/measure/capacity"
+	"github.com/camphorlever/camphorlever/internal/measure/schedules"
 )
 
 // groups lists what can be measured, in the order of the report.
 var groups = []measure.Group{
 	capacity.Group,
+	schedules.Group(),
 }
 
 type flags struct {
--- a/internal/ledger/apply.go
+++ b/internal/ledger/apply.go
@@ -127,24 +127,33 @@
 		b.late += r.Tokens
 		return s.verdict(RefusedClosed)
 	}
-	s.markSettled(writer, r)
+	s.markSettled(r.Run.Gate, r.Run.Number, r.Run.Number)
+	if writer == r.Run.Gate {
+		s.floor = max(s.floor, r.Floor)
+	}
 	if _, known := s.billed.get(r.Key); known {
 		return s.verdict(AlreadyBilled)
 	}
 	return s.granted(s.bill(b, r))
 }
 
-// markSettled remembers a run, and forgets the runs below the gate's floor.
-func (s *State) markSettled(writer ident.Incarnation, r Settle) {
-	runs := s.settled[r.Run.Gate]
+// markSettled remembers the runs of a gate from first to last.
+func (s *State) markSettled(gate ident.Incarnation, first, last uint64) {
+	runs := s.settled[gate]
 	if runs == nil {
 		runs = &rangeSet{}
-		s.settled[r.Run.Gate] = runs
+		s.settled[gate] = runs
 	}
-	runs.add(r.Run.Number, r.Run.Number)
-	if writer == r.Run.Gate && r.Floor > 1 {
-		runs.add(1, r.Floor-1)
+	runs.add(first, last)
+}
+
+// raiseFloor applies the highest floor of a batch of the gate itself, once all
+// of the batch is folded.
+func (s *State) raiseFloor(gate ident.Incarnation) {
+	if s.floor > 1 && !s.Closed(gate) {
+		s.markSettled(gate, 1, s.floor-1)
 	}
+	s.floor = 0
 }
 
 // bill takes a run's tokens from its grant and returns how many were billed.
@@ -160,11 +169,18 @@
 	b.overrun += r.Tokens - tokens
 	b.bill(grant, r.Router, tokens)
 	if tokens > 0 && r.Key != (ident.Key{}) {
-		s.billed.put(r.Key, struct{}{})
+		s.remember(r.Key, KeyBill{Run: r.Run, Holder: r.Holder, Tokens: tokens, Offset: s.offset})
 	}
 	return tokens
 }
 
+// remember keeps the bill of a key and moves the horizon to what it displaces.
+func (s *State) remember(key ident.Key, bill KeyBill) {
+	if forgotten, full := s.billed.put(key, bill); full {
+		s.horizon = forgotten.Offset
+	}
+}
+
 func (s *State) claim(r Claim) Verdict {
 	if !s.owns(r.Team) || r.Gate == 0 || r.Key == (ident.Key{}) {
 		return s.verdict(RefusedInvalid)
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -72,8 +72,9 @@
 	Key     ident.Key         `msgpack:"k"`
 	Tokens  int64             `msgpack:"n"` // prompt and output tokens
 	// Floor is set by the gate itself: every run of the shard's teams that
-	// it numbered below Floor is settled, or never was a run. It lets the
-	// fold forget them one by one. Zero says nothing.
+	// it numbered below Floor is settled by this batch or an earlier one, or
+	// never was a run. The fold then remembers them as one range. Zero says
+	// nothing.
 	Floor uint64 `msgpack:"f,omitempty"`
 	// Router began the run. A lender that takes back the loan of a closed
 	// borrower learns from it what the borrower's runs used. Zero means
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -21,7 +21,8 @@
 	Marks   []markImage    `msgpack:"m"`
 	Closed  []span         `msgpack:"c"`
 	Settled []settledImage `msgpack:"s"`
-	Billed  []ident.Key    `msgpack:"k"`  // oldest first
+	Billed  []billImage    `msgpack:"k"` // oldest first
+	Horizon ident.Offset   `msgpack:"h"`
 	Claims  []claimImage   `msgpack:"cl"` // oldest first
 }
 
@@ -45,6 +46,14 @@
 	Runs []span            `msgpack:"r"`
 }
 
+type billImage struct {
+	Key    ident.Key         `msgpack:"k"`
+	Run    ident.RunID       `msgpack:"r"`
+	Holder ident.Incarnation `msgpack:"h"`
+	Tokens int64             `msgpack:"n"`
+	Offset ident.Offset      `msgpack:"o"`
+}
+
 type claimImage struct {
 	Key    ident.Key         `msgpack:"k"`
 	Gate   ident.Incarnation `msgpack:"g"`
@@ -62,8 +71,13 @@
 		Marks:   s.markImages(),
 		Closed:  canonical(s.closed.spans),
 		Settled: s.settledImages(),
-		Billed:  keysOf(&s.billed),
+		Horizon: s.horizon,
 	}
+	s.billed.each(func(key ident.Key, bill KeyBill) {
+		image.Billed = append(image.Billed, billImage{
+			Key: key, Run: bill.Run, Holder: bill.Holder, Tokens: bill.Tokens, Offset: bill.Offset,
+		})
+	})
 	s.claims.each(func(key ident.Key, holder ClaimHolder) {
 		image.Claims = append(image.Claims, claimImage{Key: key, Gate: holder.Gate, Offset: holder.Offset})
 	})
@@ -146,8 +160,9 @@
 	for _, g := range image.Settled {
 		s.settled[g.Gate] = &rangeSet{spans: g.Runs}
 	}
-	for _, key := range image.Billed {
-		s.billed.put(key, struct{}{})
+	s.horizon = image.Horizon
+	for _, b := range image.Billed {
+		s.billed.put(b.Key, KeyBill{Run: b.Run, Holder: b.Holder, Tokens: b.Tokens, Offset: b.Offset})
 	}
 	for _, c := range image.Claims {
 		s.claims.put(c.Key, ClaimHolder{Gate: c.Gate, Offset: c.Offset})
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -17,10 +17,10 @@
 const (
 	// BilledKeyWindow is how many billed keys of a shard are remembered. A
 	// second run of a key that is settled after so many others is billed.
-	BilledKeyWindow = 1 << 15
+	BilledKeyWindow = 1 << 13
 	// ClaimWindow is how many claims of a shard are remembered. A key that
 	// must not be repeated is protected until so many later claims.
-	ClaimWindow = 1 << 15
+	ClaimWindow = 1 << 14
 	// TopUpWindow is how many top-up identities of a team are remembered.
 	TopUpWindow = 1 << 12
 )
@@ -36,8 +36,10 @@
 	marks   map[ident.Incarnation]uint64    // last sequence of each writer that is not closed
 	closed  rangeSet                        // closed incarnations
 	settled map[ident.Incarnation]*rangeSet // settled run numbers of each gate that is not closed
-	billed  window[struct{}]                // keys of billed runs
+	billed  window[KeyBill]                 // by the keys of billed runs
+	horizon ident.Offset                    // of the newest bill that is forgotten
 	claims  window[ClaimHolder]
+	floor   uint64 // highest Settle.Floor of the batch that is being applied
 }
 
 // ClaimHolder is the winner of a claim.
@@ -46,6 +48,14 @@
 	Offset ident.Offset
 }
 
+// KeyBill is the run for which a key was billed.
+type KeyBill struct {
+	Run    ident.RunID
+	Holder ident.Incarnation // of the grant that paid
+	Tokens int64
+	Offset ident.Offset // of the settlement
+}
+
 // New returns the state before the first record of a shard's stream. The
 // number of shards is fixed for the fleet.
 func New(shard, shards int) *State {
@@ -57,7 +67,8 @@
 		budgets: map[ident.TeamID]*budget{},
 		marks:   map[ident.Incarnation]uint64{},
 		settled: map[ident.Incarnation]*rangeSet{},
-		billed:  newWindow[struct{}](BilledKeyWindow),
+		billed:  newWindow[KeyBill](BilledKeyWindow),
+		horizon: ident.NoOffset,
 		claims:  newWindow[ClaimHolder](ClaimWindow),
 	}
 }
@@ -83,6 +94,7 @@
 			verdicts[i] = s.applyRecord(batch.Identity.Writer, batch.Records[i])
 		}
 	}
+	s.raiseFloor(batch.Identity.Writer)
 	return verdicts
 }
 
@@ -187,6 +199,18 @@
 	return runs != nil && runs.has(run.Number)
 }
 
+// BilledKey returns what a key was billed for. A router whose call was lost
+// learns from it what its reservation was used for.
+func (s *State) BilledKey(key ident.Key) (KeyBill, bool) {
+	return s.billed.get(key)
+}
+
+// BillHorizon returns the offset up to which bills may be forgotten: a key
+// that BilledKey does not know was not billed behind it.
+func (s *State) BillHorizon() ident.Offset {
+	return s.horizon
+}
+
 // Claim returns the winner of a key's claim.
 func (s *State) Claim(key ident.Key) (ClaimHolder, bool) {
 	return s.claims.get(key)
--- a/internal/ledger/state_test.go
+++ b/internal/ledger/state_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"encoding/binary"
 	"math/rand/v2"
 	"testing"
 
@@ -103,6 +104,10 @@
 		require.Equal(t, step.billed, step.verdict.Tokens, step.name)
 	}
 	require.Equal(t, Budget{TopUps: 100, Billed: 50, Free: 50, Overrun: 1}, s.state.Budget("a"))
+	bill, known := s.state.BilledKey(key(3))
+	require.True(t, known)
+	require.Equal(t, KeyBill{Run: run(9, 3), Holder: 1, Tokens: 5, Offset: 7}, bill)
+	require.Equal(t, ident.NoOffset, s.state.BillHorizon())
 	require.True(t, s.state.Settled(run(9, 4)))
 	require.False(t, s.state.Settled(run(9, 5)))
 	require.Equal(t, []span{{1, 4}}, s.state.settled[9].spans, "contiguous runs take one span")
@@ -116,6 +121,13 @@
 	require.False(t, s.state.Settled(run(9, 3)))
 	s.do(9, KindSettle, Settle{Team: "a", Holder: 1, Run: run(9, 9), Key: key(2), Tokens: 1, Floor: 6})
 	require.Equal(t, []span{{1, 5}, {7, 7}, {9, 9}}, s.state.settled[9].spans)
+	settle := func(n uint64, k byte) record.Record {
+		return rec(t, KindSettle, Settle{Team: "a", Holder: 1, Run: run(9, n), Key: key(k), Tokens: 1, Floor: 10})
+	}
+	for _, verdict := range s.batch(9, 2, settle(6, 3), settle(8, 4)) {
+		require.EqualValues(t, 1, verdict.Tokens, "the floor does not reach into its own batch")
+	}
+	require.Equal(t, []span{{1, 9}}, s.state.settled[9].spans)
 }
 
 func TestIdentityOfBatches(t *testing.T) {
@@ -230,6 +242,16 @@
 	}
 }
 
+func TestBillHorizon(t *testing.T) {
+	s := New(0, 1)
+	for n := range BilledKeyWindow + 3 {
+		var k ident.Key
+		binary.BigEndian.PutUint64(k[:], uint64(n)+1)
+		s.remember(k, KeyBill{Offset: ident.Offset(n)})
+	}
+	require.EqualValues(t, 2, s.BillHorizon())
+}
+
 func TestRangeSetAgainstAMap(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	for range 200 {
--- a/internal/ledger/window.go
+++ b/internal/ledger/window.go
@@ -32,9 +32,9 @@
 	return entry.value, ok
 }
 
-// put inserts a key that is not in the window and forgets the oldest entry if
-// the window is full.
-func (w *window[V]) put(key ident.Key, value V) {
+// put inserts a key that is not in the window. If the window is full, it
+// forgets the oldest entry and returns it.
+func (w *window[V]) put(key ident.Key, value V) (forgotten V, full bool) {
 	if w.entries == nil {
 		w.entries = map[ident.Key]windowEntry[V]{}
 	}
@@ -42,17 +42,14 @@
 	w.entries[key] = windowEntry[V]{serial: w.serial, value: value}
 	w.queue = append(w.queue, windowPlace{key: key, serial: w.serial})
 	for len(w.entries) > w.limit {
-		w.evict()
-	}
-}
-
-// evict drops the oldest place, and its entry unless it was removed before.
-func (w *window[V]) evict() {
-	place := w.queue[0]
-	w.queue = w.queue[1:]
-	if w.holds(place) {
-		delete(w.entries, place.key)
+		place := w.queue[0]
+		w.queue = w.queue[1:]
+		if w.holds(place) {
+			forgotten, full = w.entries[place.key].value, true
+			delete(w.entries, place.key)
+		}
 	}
+	return forgotten, full
 }
 
 func (w *window[V]) holds(place windowPlace) bool {
