Side process tested with its fleet, ledger and engine in fake time

The first run of TestRunIsAnsweredAndBilled lost the last frames: the end of an answer was written without a flush when it was there at once.

--- a/internal/engine/fake_test.go
+++ b/internal/engine/fake_test.go
@@ -1,56 +1,26 @@
 package engine
 
 import (
-	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"testing"
 
 	"github.com/rs/zerolog"
 
+	"github.com/camphorlever/camphorlever/internal/engine/pipetest"
 	"github.com/camphorlever/camphorlever/internal/gate"
 	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
-// pipeListener accepts in-memory connections, so that a server can run within
-// a synctest bubble. refuse makes dials fail.
-type pipeListener struct {
-	conns  chan net.Conn
-	done   chan struct{}
-	refuse func() bool
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error   { close(l.done); return nil }
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-func (l *pipeListener) dial(context.Context, string, string) (net.Conn, error) {
-	if l.refuse != nil && l.refuse() {
-		return nil, &net.OpError{Op: "dial", Err: fmt.Errorf("refused")}
-	}
-	ours, theirs := net.Pipe()
-	l.conns <- theirs
-	return ours, nil
-}
-
 // fakeEngine serves a script per request, in the order of their arrival.
 type fakeEngine struct {
 	mu       sync.Mutex
 	requests []string // method and path
 	handle   func(n int, w http.ResponseWriter, r *http.Request)
-	listener *pipeListener
+	listener *pipetest.Listener
 }
 
 func (f *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -75,12 +45,10 @@
 func newFake(t *testing.T, handle func(n int, w http.ResponseWriter, r *http.Request)) (*fakeEngine, *Client, func()) {
 	t.Helper()
 	f := &fakeEngine{handle: handle}
-	f.listener = &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+	f.listener = pipetest.New()
 	server := &http.Server{Handler: f}
 	go server.Serve(f.listener)
-	transport := NewTransport()
-	transport.DialContext = f.listener.dial
-	client := New(Config{URL: "http://engine", Logger: zerolog.Nop(), Transport: transport})
+	client := New(Config{URL: "http://engine", Logger: zerolog.Nop(), Transport: f.listener.Transport()})
 	return f, client, func() { server.Close() }
 }
 
--- a/internal/side/handler.go
+++ b/internal/side/handler.go
@@ -141,7 +141,7 @@
 		if err == nil {
 			continue
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && out.flush() == nil {
 			return
 		}
 		h.counts.Inc("reader_lost")
@@ -168,6 +168,10 @@
 	if !flush {
 		return nil
 	}
+	return s.flush()
+}
+
+func (s *frameStream) flush() error {
 	if err := s.buffer.Flush(); err != nil {
 		return err
 	}
--- a/internal/side/process.go
+++ b/internal/side/process.go
@@ -51,6 +51,8 @@
 	Log     logservice.Log
 	VMs     vmlist.Lister
 	Weights WeightStore
+	// Engine carries the calls to the backend server; nil dials TCP.
+	Engine http.RoundTripper
 }
 
 // New puts a side process together. Nothing runs until Run.
@@ -60,7 +62,7 @@
 		log:       logger.With().Str("part", "side").Logger(),
 		vms:       platform.VMs,
 		weights:   platform.Weights,
-		client:    engine.New(engine.Config{URL: options.EngineURL, Logger: logger}),
+		client:    engine.New(engine.Config{URL: options.EngineURL, Logger: logger, Transport: platform.Engine}),
 		announced: make(chan struct{}),
 		stopped:   make(chan struct{}),
 	}
