--- a/internal/gate/begin.go
+++ b/internal/gate/begin.go
@@ -54,14 +54,14 @@
 	if _, ok := s.sealed[request.Key]; ok {
 		return wire.BeginSealed
 	}
+	if g.leaving.Load() {
+		return wire.BeginLeaving
+	}
 	for _, life := range [...]ident.Incarnation{request.Gate, request.Router, request.Holder} {
 		if g.config.Lives.Standing(life) != Live {
 			return wire.BeginSealed
 		}
 	}
-	if g.leaving.Load() {
-		return wire.BeginLeaving
-	}
 	if g.running.Load() >= int64(g.config.MaxRunning) || g.buffer.full() {
 		return wire.BeginFull
 	}
--- a/internal/gate/doc.go
+++ b/internal/gate/doc.go
@@ -17,8 +17,8 @@
 // the lock of every shard, so a Begin that has not seen the fact is over.
 //
 // Begin checks in this order: incarnation, offsets, a known key (attach, or
-// conflict), a sealed key, the standing of the router and of the holder,
-// leaving, room. A retry attaches to its run also when the gate is leaving or
+// conflict), a sealed key, leaving, the standing of the gate, the router and
+// the holder, room. A retry attaches to its run also when the gate is leaving or
 // its router is sealed, since attaching starts nothing.
 //
 // Memory is bounded by Config.BufferBytes for all answers together. What is
--- /dev/null
+++ b/internal/gate/run_test.go
@@ -0,0 +1,228 @@
+package gate
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/wire"
+)
+
+// paced is a script that answers n events, one each interval, until stopped.
+func paced(n int, interval time.Duration) func(context.Context, Job, Sink) Outcome {
+	return func(ctx context.Context, _ Job, sink Sink) Outcome {
+		for range n {
+			select {
+			case <-time.After(interval):
+			case <-ctx.Done():
+				return Outcome{Reached: true, Prompt: 10, PromptKnown: true}
+			}
+			if !sink.Event(make([]byte, 100), 1) {
+				break
+			}
+		}
+		return Outcome{Complete: true, Reached: true, Prompt: 10, PromptKnown: true}
+	}
+}
+
+func ends(o Outcome) func(context.Context, Job, Sink) Outcome {
+	return func(_ context.Context, _ Job, sink Sink) Outcome {
+		sink.Event([]byte("word"), 2)
+		return o
+	}
+}
+
+func TestUsageIsMetered(t *testing.T) {
+	cases := map[string]struct {
+		script func(context.Context, Job, Sink) Outcome
+		change func(r *wire.BeginRequest)
+		want   int64
+		kind   wire.FrameKind
+	}{
+		"complete":                 {script: words(5), want: 15, kind: wire.FrameEnd},
+		"cut off at the bound":     {script: words(200), want: 100, kind: wire.FrameEnd},
+		"broken, prompt counted":   {script: ends(Outcome{Reached: true, Prompt: 7, PromptKnown: true}), want: 9, kind: wire.FrameFailed},
+		"broken, prompt uncounted": {script: ends(Outcome{Reached: true}), want: 22, kind: wire.FrameFailed},
+		"not reached":              {script: ends(Outcome{}), want: 0, kind: wire.FrameFailed},
+		"prompt above the bound":   {script: ends(Outcome{Complete: true, Reached: true, Prompt: 500, PromptKnown: true}), want: 100, kind: wire.FrameEnd},
+		"engine counted more": {
+			script: ends(Outcome{Complete: true, Reached: true, PromptKnown: true, Output: 30, OutputKnown: true}), want: 30, kind: wire.FrameEnd,
+		},
+		"plain service": {
+			script: ends(Outcome{Complete: true, Reached: true}), want: 100, kind: wire.FrameEnd,
+			change: func(r *wire.BeginRequest) { r.Call.Service = "desk" },
+		},
+		"negative bound": {
+			script: words(5), want: 0, kind: wire.FrameEnd,
+			change: func(r *wire.BeginRequest) { r.Bound, r.MaxOutput = -5, -5 },
+		},
+		"deadline": {
+			script: untilStopped, want: 11, kind: wire.FrameFailed,
+			change: func(r *wire.BeginRequest) { r.Timeout = time.Second },
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(c.script)
+				request := beginOf(keyOf(1))
+				if c.change != nil {
+					c.change(request)
+				}
+				answer, _ := b.Begin(request)
+				end := last(readAll(t, answer))
+				require.Equal(t, c.kind, end.Kind)
+				require.EqualValues(t, c.want, end.Usage.Total())
+				synctest.Wait()
+				require.EqualValues(t, c.want, b.settler.tokens(request.Key))
+			})
+		})
+	}
+}
+
+func TestRunWithoutReaderIsStopped(t *testing.T) {
+	cases := map[string]struct {
+		returns time.Duration // when a reader comes back, zero for never
+		once    bool
+		events  int64
+	}{
+		"nobody returns":            {events: 30},
+		"reader returns":            {returns: ReaderGrace / 2, events: 60},
+		"reader returns and leaves": {returns: -ReaderGrace / 2, events: 45},
+		"must not be repeated":      {once: true, events: 60},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(paced(60, time.Second))
+				request := beginOf(keyOf(1))
+				request.Once = c.once
+				request.Bound, request.MaxOutput = 100, 90
+				answer, _ := b.Begin(request)
+				synctest.Wait() // the run's clock starts
+				time.Sleep(time.Millisecond)
+				answer.Close()
+				if c.returns != 0 {
+					time.Sleep(c.returns.Abs())
+					back, outcome := b.Begin(request)
+					require.Equal(t, wire.BeginRunning, outcome)
+					if c.returns < 0 {
+						back.Close()
+					}
+				}
+				time.Sleep(2 * time.Minute)
+				require.EqualValues(t, 10+c.events, b.settler.tokens(request.Key))
+			})
+		})
+	}
+}
+
+func TestHeartbeatsFillPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(paced(1, 3500*time.Millisecond))
+		answer, _ := b.Begin(beginOf(keyOf(1)))
+		var kinds []wire.FrameKind
+		for range 6 {
+			frame, err := answer.Next(t.Context())
+			require.NoError(t, err)
+			kinds = append(kinds, frame.Kind)
+		}
+		beat := wire.FrameHeartbeat
+		require.Equal(t, []wire.FrameKind{wire.FrameBegin, beat, beat, beat, wire.FrameEvent, wire.FrameEnd}, kinds)
+	})
+}
+
+// A reader that takes nothing neither stalls the run nor another reader, and
+// holds no memory beyond the buffer.
+func TestSlowReaderIsLeftBehind(t *testing.T) {
+	const limit = 2000
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(paced(1000, time.Millisecond))
+		b.SetLimits(limit, 0)
+		request := beginOf(keyOf(1))
+		request.Bound, request.MaxOutput = 2000, 1500
+		slow, _ := b.Begin(request)
+		fast, _ := b.Begin(request)
+		frames := 0
+		for {
+			frame, err := fast.Next(t.Context())
+			require.NoError(t, err)
+			require.LessOrEqual(t, b.buffer.bytes.Load(), int64(limit))
+			if frame.Kind == wire.FrameEnd {
+				break
+			}
+			frames++
+		}
+		require.Equal(t, 1001, frames)
+		require.Less(t, time.Since(b.LastStart()), 1100*time.Millisecond)
+		slow.Next(t.Context())
+		_, err := slow.Next(t.Context())
+		require.ErrorIs(t, err, ErrGone)
+		_, outcome := b.Begin(request)
+		require.Equal(t, wire.BeginGone, outcome)
+	})
+}
+
+// Finished answers go oldest first, and never lead to a second run.
+func TestOldestFinishedAnswersAreDroppedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(paced(10, time.Millisecond))
+		b.SetLimits(4000, 0) // two answers and a bit
+		for k := range 4 {
+			answer, _ := b.Begin(beginOf(keyOf(k)))
+			readAll(t, answer)
+		}
+		synctest.Wait()
+		want := []wire.BeginOutcome{wire.BeginGone, wire.BeginGone, wire.BeginDone, wire.BeginDone}
+		for k, outcome := range want {
+			_, got := b.Begin(beginOf(keyOf(k)))
+			require.Equal(t, outcomeNames[outcome], outcomeNames[got], "key %d", k)
+			require.Equal(t, 1, b.backend.started(keyOf(k)))
+		}
+		require.Len(t, b.shardOf(keyOf(0)).ended, 1, "only a tombstone is left")
+	})
+}
+
+// A run that is over and dropped but not settled still holds a release up.
+func TestDroppedAnswerStaysUnsettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(words(1))
+		b.settler.held = true
+		request := beginOf(keyOf(1))
+		runAndDrop(b, request)
+		b.lives.sealed.Store(uint64(request.Holder))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		require.Error(t, b.Release(ctx, request.Holder))
+		b.settler.release()
+		require.NoError(t, b.Release(t.Context(), request.Holder))
+	})
+}
+
+func TestFloorFollowsTheSettled(t *testing.T) {
+	var n numbers
+	n.init()
+	for want := uint64(1); want <= 4; want++ {
+		require.Equal(t, want, n.next())
+	}
+	for _, step := range []struct{ settle, floor uint64 }{{2, 1}, {1, 3}, {4, 3}, {3, 5}} {
+		n.settle(step.settle)
+		require.Equal(t, step.floor, n.settledBelow())
+	}
+	require.EqualValues(t, 5, n.next())
+}
+
+func TestKeysOfAnotherLifeAreStrangers(t *testing.T) {
+	b := newBench(words(1))
+	_, outcome := b.Resume(&wire.ResumeRequest{Key: keyOf(1), Gate: own + 1})
+	require.Equal(t, wire.BeginStranger, outcome)
+	_, outcome = b.Resume(&wire.ResumeRequest{Key: keyOf(1), Gate: own})
+	require.Equal(t, wire.BeginUnknown, outcome)
+	unopened := New(Config{Lives: &fakeLives{}})
+	_, outcome = unopened.Begin(&wire.BeginRequest{Gate: ident.Incarnation(0)})
+	require.Equal(t, wire.BeginStranger, outcome)
+}
