--- /dev/null
+++ b/internal/engine/cases_test.go
@@ -0,0 +1,248 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/camphorlever/camphorlever/internal/gate"
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/wire"
+)
+
+// calls answers the engine's short calls, and leaves chats to the function.
+func calls(chat func(n int, w http.ResponseWriter, r *http.Request)) func(n int, w http.ResponseWriter, r *http.Request) {
+	return func(n int, w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == "/tokenize":
+			fmt.Fprint(w, `{"count":13}`)
+		case r.URL.Path == "/load", strings.HasSuffix(r.URL.Path, "/cancel"):
+			fmt.Fprint(w, `{}`)
+		default:
+			chat(n, w, r)
+		}
+	}
+}
+
+func TestChatThatDoesNotComplete(t *testing.T) {
+	const cancelled = "POST /streams/7-1/cancel"
+	some := func(w http.ResponseWriter) { tokens(w, chatID, 0, 3) }
+	cases := map[string]struct {
+		handle   func(n int, w http.ResponseWriter, r *http.Request)
+		refuse   bool  // connections
+		limit    int64 // of the sink, tokens
+		deadline time.Duration
+		want     gate.Outcome // Result is compared by status
+		cancels  bool
+		within   time.Duration
+	}{
+		"not reachable": {refuse: true, want: gate.Outcome{Result: wire.Result{Status: 502}}},
+		"caller's mistake": {
+			handle: func(_ int, w http.ResponseWriter, _ *http.Request) { http.Error(w, "no such model", 404) },
+			want:   gate.Outcome{Complete: true, Result: wire.Result{Status: 404}},
+		},
+		"engine down": {
+			handle: func(_ int, w http.ResponseWriter, _ *http.Request) { http.Error(w, "down", 503) },
+			want:   gate.Outcome{Result: wire.Result{Status: 503}},
+		},
+		"engine's failure": {
+			handle: func(_ int, w http.ResponseWriter, _ *http.Request) {
+				some(w)
+				fmt.Fprint(w, "data: {\"error\":{\"message\":\"broken\"}}\n\n")
+			},
+			want:    gate.Outcome{Reached: true, Prompt: 13, PromptKnown: true, Result: wire.Result{Status: 502}},
+			cancels: true,
+		},
+		"engine restarted": {
+			handle: func(n int, w http.ResponseWriter, _ *http.Request) {
+				if n > 0 {
+					http.Error(w, "unknown stream", 404)
+					return
+				}
+				some(w)
+				panic(http.ErrAbortHandler)
+			},
+			want: gate.Outcome{Reached: true, Prompt: 13, PromptKnown: true, Result: wire.Result{Status: 502}},
+		},
+		"engine never got it": {
+			handle: func(n int, w http.ResponseWriter, r *http.Request) {
+				if n > 0 {
+					http.Error(w, "unknown stream", 404)
+					return
+				}
+				panic(http.ErrAbortHandler)
+			},
+			want: gate.Outcome{Result: wire.Result{Status: 502}},
+		},
+		"sink has enough": {
+			handle:  func(_ int, w http.ResponseWriter, r *http.Request) { some(w); silence(r) },
+			limit:   2,
+			want:    gate.Outcome{Reached: true, Prompt: 13, PromptKnown: true},
+			cancels: true,
+		},
+		"deadline": {
+			handle:   func(_ int, w http.ResponseWriter, r *http.Request) { some(w); silence(r) },
+			deadline: time.Second,
+			want:     gate.Outcome{Reached: true, Prompt: 13, PromptKnown: true, Result: wire.Result{Status: 502}},
+			cancels:  true,
+			within:   time.Second,
+		},
+		"silent stream of a live engine": {
+			handle:   func(_ int, w http.ResponseWriter, r *http.Request) { silence(r) },
+			deadline: time.Minute,
+			want:     gate.Outcome{Reached: true, Prompt: 13, PromptKnown: true, Result: wire.Result{Status: 502}},
+			cancels:  true,
+			within:   time.Minute,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				engine, client, stop := newFake(t, calls(c.handle))
+				defer stop()
+				engine.listener.Refuse(c.refuse)
+				ctx := t.Context()
+				if c.deadline > 0 {
+					var cancel context.CancelFunc
+					ctx, cancel = context.WithTimeout(ctx, c.deadline)
+					defer cancel()
+				}
+				start := time.Now()
+				got := client.Run(ctx, chatJob(), &recorder{limit: c.limit})
+				require.Equal(t, c.want.Result.Status, got.Result.Status, got.Result.Message)
+				got.Result = c.want.Result
+				require.Equal(t, c.want, got)
+				require.LessOrEqual(t, time.Since(start), c.within)
+				if c.cancels {
+					require.Contains(t, engine.seen(), cancelled)
+				} else {
+					require.NotContains(t, engine.seen(), cancelled)
+				}
+			})
+		})
+	}
+}
+
+// An engine that answers nothing on any connection is given up in time.
+func TestSilentEngineIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, client, stop := newFake(t, func(_ int, _ http.ResponseWriter, r *http.Request) { silence(r) })
+		defer stop()
+		start := time.Now()
+		got := client.Run(t.Context(), chatJob(), &recorder{})
+		require.False(t, got.Complete)
+		require.True(t, got.Reached, "it may have run")
+		require.False(t, got.PromptKnown)
+		took := time.Since(start)
+		require.GreaterOrEqual(t, took, DefaultGiveUp)
+		require.Less(t, took, DefaultGiveUp+20*time.Second)
+	})
+}
+
+// The engine numbers its events: late repeats are dropped, and a gap is filled
+// through a new connection.
+func TestNumberedEvents(t *testing.T) {
+	write := func(w http.ResponseWriter, numbers ...int) {
+		for _, i := range numbers {
+			fmt.Fprintf(w, "id: %d\ndata: {\"id\":%q,\"choices\":[{\"delta\":{\"content\":\"w%d\"}}]}\n\n", i, chatID, i)
+		}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		engine, client, stop := newFake(t, func(n int, w http.ResponseWriter, _ *http.Request) {
+			if n == 0 {
+				write(w, 0, 1, 0, 1, 2, 4)
+				return
+			}
+			write(w, 2, 3, 4)
+			fmt.Fprintf(w, "id: 5\ndata: {\"id\":%q,\"usage\":{\"prompt_tokens\":1,\"completion_tokens\":5}}\n\n", chatID)
+			fmt.Fprint(w, "data: [DONE]\n\n")
+		})
+		defer stop()
+		var got recorder
+		require.True(t, client.Run(t.Context(), chatJob(), &got).Complete)
+		require.Len(t, got.events, 6)
+		for i, e := range got.events[:5] {
+			require.Contains(t, e, fmt.Sprintf("w%d", i))
+		}
+		require.Equal(t, []string{"POST /v1/chat/completions", "GET /streams/7-1?from=3"}, engine.seen())
+	})
+}
+
+func TestPlainServiceCalls(t *testing.T) {
+	fail := func(n int, w http.ResponseWriter, _ *http.Request) {
+		if n == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprint(w, "ok")
+	}
+	cases := map[string]struct {
+		once     bool
+		handle   func(n int, w http.ResponseWriter, r *http.Request)
+		requests int
+		want     gate.Outcome
+	}{
+		"repeated after a broken connection": {handle: fail, requests: 2, want: gate.Outcome{Complete: true, Reached: true, Result: wire.Result{Status: 200}}},
+		"not to be repeated":                 {once: true, handle: fail, requests: 1, want: gate.Outcome{Reached: true, Result: wire.Result{Status: 502}}},
+		"server's error is the answer": {
+			handle:   func(_ int, w http.ResponseWriter, _ *http.Request) { http.Error(w, "no", 500) },
+			requests: 1, want: gate.Outcome{Complete: true, Reached: true, Result: wire.Result{Status: 500}},
+		},
+		"redirect is the answer": {
+			handle:   func(_ int, w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/elsewhere", 307) },
+			requests: 1, want: gate.Outcome{Complete: true, Reached: true, Result: wire.Result{Status: 307}},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				engine, client, stop := newFake(t, func(n int, w http.ResponseWriter, r *http.Request) {
+					require.Equal(t, ident.Key{1}.String(), r.Header.Get("Idempotency-Key"))
+					c.handle(n, w, r)
+				})
+				defer stop()
+				job := gate.Job{Key: ident.Key{1}, Once: c.once, Call: wire.Call{Service: "desk", Method: "POST", Path: "/orders?x=1", Body: []byte("{}")}}
+				got := client.Run(t.Context(), job, &recorder{})
+				require.Equal(t, c.want.Result.Status, got.Result.Status)
+				got.Result = c.want.Result
+				require.Equal(t, c.want, got)
+				require.Len(t, engine.seen(), c.requests)
+				require.Equal(t, "POST /orders?x=1", engine.seen()[0])
+			})
+		})
+	}
+}
+
+func TestCacheViewIsVoidAfterAGap(t *testing.T) {
+	stored := func(seq, block uint64) CacheEvent { return CacheEvent{Seq: seq, Kind: cacheStored, Block: block} }
+	removed := func(seq, block uint64) CacheEvent { return CacheEvent{Seq: seq, Kind: "removed", Block: block} }
+	c := NewCache()
+	steps := []struct {
+		page   CachePage
+		lost   bool
+		epoch  uint64
+		blocks []uint64
+	}{
+		{CachePage{Epoch: 1, First: 1, Events: []CacheEvent{stored(1, 10), stored(2, 20)}}, false, 0, []uint64{10, 20}},
+		{CachePage{Epoch: 1, First: 1, Events: []CacheEvent{stored(2, 20), removed(3, 10)}}, false, 0, []uint64{20}},
+		{CachePage{Epoch: 1, First: 1, Events: []CacheEvent{stored(5, 50)}}, true, 1, []uint64{50}},
+		{CachePage{Epoch: 1, First: 9, Events: []CacheEvent{stored(9, 90)}}, true, 2, []uint64{90}},
+		{CachePage{Epoch: 2, First: 1}, true, 3, []uint64{}},
+		{CachePage{Epoch: 2, First: 1, Events: []CacheEvent{stored(1, 11)}}, false, 3, []uint64{11}},
+	}
+	for i, s := range steps {
+		require.Equal(t, s.lost, c.Apply(s.page), "step %d", i)
+		view := c.View()
+		require.Equal(t, s.epoch, view.Epoch, "step %d", i)
+		require.ElementsMatch(t, s.blocks, view.Entries, "step %d", i)
+	}
+	for seq := uint64(2); seq < 3*maxCacheEntries; seq++ {
+		c.Apply(CachePage{Epoch: 2, First: 1, Events: []CacheEvent{stored(seq, seq)}})
+	}
+	require.Len(t, c.View().Entries, maxCacheEntries)
+}
