Placement: first token estimated under late loads; figures by simulation

The choice weighs one server with the longest cached prefix and two random ones by the estimated time to the first token. The load counts as uncertain by its square root instead, and the bound holds only above the slots.

--- a/cmd/camphor-measure/main.go
+++ b/cmd/camphor-measure/main.go
@@ -10,12 +10,13 @@
 
 	"github.com/camphorlever/camphorlever/internal/measure"
 	"github.com/camphorlever/camphorlever/internal/measure/capacity"
+	"github.com/camphorlever/camphorlever/internal/measure/placement"
 )
 
 // groups lists what can be measured, in the order of the report.
-var groups = []measure.Group{
+var groups = append([]measure.Group{
 	capacity.Group,
-}
+}, placement.Groups()...)
 
 type flags struct {
 	Only []string `arg:"" optional:"" help:"Groups to measure; all if none is named."`
--- a/internal/filter/queue/handler.go
+++ b/internal/filter/queue/handler.go
@@ -59,7 +59,7 @@
 	defer h.mu.Unlock()
 	pool, ok := h.pools[key]
 	if !ok {
-		pool = NewPool()
+		pool = NewPool(nil)
 		h.pools[key] = pool
 	}
 	return pool
--- a/internal/filter/queue/order.go
+++ b/internal/filter/queue/order.go
@@ -25,10 +25,10 @@
 	finish  float64 // virtual time at which the last request's turn ends
 	cost    float64 // of all waiting
 	weight  float64
-	waiting []*waiter
+	waiting []*Waiter
 }
 
-func (o *order) push(w *waiter) {
+func (o *order) push(w *Waiter) {
 	l := &o.levels[w.ticket.Priority]
 	if l.teams == nil {
 		l.teams = map[ident.TeamID]*teamQueue{}
@@ -47,7 +47,7 @@
 }
 
 // pop takes the next request out; there must be one.
-func (o *order) pop() *waiter {
+func (o *order) pop() *Waiter {
 	for i := range o.levels {
 		l := &o.levels[i]
 		next := l.next()
@@ -92,7 +92,7 @@
 }
 
 // remove takes a waiting request out; false if it is not there.
-func (o *order) remove(w *waiter) bool {
+func (o *order) remove(w *Waiter) bool {
 	q, ok := o.levels[w.ticket.Priority].teams[w.ticket.Team]
 	if !ok {
 		return false
@@ -110,9 +110,9 @@
 
 // last returns the request that goes last: of the lowest priority, of the
 // team that starts latest.
-func (o *order) last() *waiter {
+func (o *order) last() *Waiter {
 	for i := priorities - 1; i >= 0; i-- {
-		var last *waiter
+		var last *Waiter
 		for _, q := range o.levels[i].teams {
 			if n := len(q.waiting); n > 0 && (last == nil || q.waiting[n-1].start > last.start) {
 				last = q.waiting[n-1]
--- a/internal/filter/queue/pool.go
+++ b/internal/filter/queue/pool.go
@@ -44,15 +44,20 @@
 	room     func() int
 	order    order
 	perToken float64 // seconds of a place per token of cost
+	now      func() time.Time
 }
 
-// NewPool returns an empty queue.
-func NewPool() *Pool {
-	return &Pool{perToken: firstPerToken, room: func() int { return 1 }}
+// NewPool returns an empty queue. The clock may be nil for the real one; it
+// measures how long runs hold their places.
+func NewPool(now func() time.Time) *Pool {
+	if now == nil {
+		now = time.Now
+	}
+	return &Pool{perToken: firstPerToken, room: func() int { return 1 }, now: now}
 }
 
-// waiter is one waiting request.
-type waiter struct {
+// Waiter is one request in the queue.
+type Waiter struct {
 	ticket  Ticket
 	start   float64 // virtual time at which its turn begins
 	ready   chan struct{}
@@ -60,6 +65,11 @@
 	shed    Shed
 }
 
+// Ready is closed when the request's turn has come or it was evicted.
+func (w *Waiter) Ready() <-chan struct{} {
+	return w.ready
+}
+
 // Turn is a place among the running requests.
 type Turn struct {
 	pool  *Pool
@@ -71,7 +81,7 @@
 // request is shed, and nil if the context ends. Room returns how many may run.
 func (p *Pool) Enter(ctx context.Context, t Ticket, room func() int) (*Turn, Shed) {
 	t.Priority = min(max(0, t.Priority), priorities-1)
-	w, shed := p.join(t, room)
+	w, shed := p.Join(t, room)
 	if w == nil {
 		return nil, shed
 	}
@@ -84,15 +94,21 @@
 	case <-ctx.Done():
 		p.withdraw(w, Shed{})
 	}
+	return p.Turn(w)
+}
+
+// Turn returns the place of a waiter that is ready, or why it has none.
+func (p *Pool) Turn(w *Waiter) (*Turn, Shed) {
 	if !w.granted {
 		return nil, w.shed
 	}
-	return &Turn{pool: p, cost: t.Cost, since: time.Now()}, Shed{}
+	return &Turn{pool: p, cost: w.ticket.Cost, since: p.now()}, Shed{}
 }
 
-// join puts a request into the order or sheds it. Waiters are changed only
-// under the lock until their ready channel is closed.
-func (p *Pool) join(t Ticket, room func() int) (*waiter, Shed) {
+// Join puts a request into the queue or sheds it; it returns nil then. It
+// does not wait. Waiters are changed only under the lock until their ready
+// channel is closed.
+func (p *Pool) Join(t Ticket, room func() int) (*Waiter, Shed) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.room = room
@@ -102,7 +118,7 @@
 	if p.order.count >= maxWaiting && !p.evict(t) {
 		return nil, Shed{Reason: shedFull, RetryAfter: MaxWait}
 	}
-	w := &waiter{ticket: t, ready: make(chan struct{})}
+	w := &Waiter{ticket: t, ready: make(chan struct{})}
 	p.order.push(w)
 	p.dispatch()
 	return w, Shed{}
@@ -130,7 +146,7 @@
 }
 
 // withdraw takes a waiter out, unless its turn came at the same moment.
-func (p *Pool) withdraw(w *waiter, shed Shed) {
+func (p *Pool) withdraw(w *Waiter, shed Shed) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !w.granted && p.order.remove(w) {
@@ -161,7 +177,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.running--
-	sample := time.Since(t.since).Seconds() / t.cost
+	sample := p.now().Sub(t.since).Seconds() / t.cost
 	p.perToken += smoothing * (sample - p.perToken)
 	p.dispatch()
 }
--- /dev/null
+++ b/internal/measure/placement/server.go
@@ -0,0 +1,139 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/camphorlever/camphorlever/internal/placement"
+)
+
+// Shape of the simulated servers.
+const (
+	serverSlots = 8
+	blockTime   = 12 * time.Millisecond // to prefill one block
+	tokenTime   = 20 * time.Millisecond // between two tokens of one run
+	cacheBlocks = 1500
+	slowFactor  = 4 // of the one slow server
+	loadLag     = 500 * time.Millisecond
+	cacheLag    = 2 * time.Second
+	gapRatio    = 0.05 // of the cache reports that tell of lost events
+)
+
+// server is one simulated backend server: runs wait for a slot, prefill one
+// after the other, and then generate side by side.
+type server struct {
+	clock   *clock
+	slow    time.Duration
+	cache   *simplelru.LRU[uint64, struct{}]
+	waiting []*run
+	running int
+	prefill time.Duration // busy until
+	loads   []sample      // newest last
+	caches  []cacheSample
+	epoch   uint64
+	leaving bool
+}
+
+// sample is a load that the server had at some time.
+type sample struct {
+	at              time.Duration
+	running, queued int
+}
+
+type cacheSample struct {
+	at     time.Duration
+	blocks []uint64
+}
+
+// run is one request at a server.
+type run struct {
+	blocks     []uint64
+	output     int
+	hits       int
+	firstToken func()
+	done       func()
+}
+
+func newServer(c *clock, slow time.Duration) *server {
+	cache, err := simplelru.NewLRU[uint64, struct{}](cacheBlocks, nil)
+	if err != nil {
+		panic(err) // the size is not positive
+	}
+	return &server{clock: c, slow: slow, cache: cache, epoch: 1}
+}
+
+func (s *server) submit(r *run) {
+	s.waiting = append(s.waiting, r)
+	s.start()
+	s.note()
+}
+
+func (s *server) start() {
+	for s.running < serverSlots && len(s.waiting) > 0 {
+		r := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		s.running++
+		s.begin(r)
+	}
+}
+
+func (s *server) begin(r *run) {
+	for r.hits < len(r.blocks) && s.cache.Contains(r.blocks[r.hits]) {
+		r.hits++
+	}
+	for _, b := range slices.Backward(r.blocks) {
+		s.cache.Add(b, struct{}{})
+	}
+	work := time.Duration(len(r.blocks)-r.hits+1) * blockTime * s.slow
+	s.prefill = max(s.prefill, s.clock.now) + work
+	s.clock.at(s.prefill, func() { s.generate(r) })
+}
+
+func (s *server) generate(r *run) {
+	r.firstToken()
+	s.clock.after(time.Duration(r.output)*tokenTime*s.slow, func() {
+		s.running--
+		r.done()
+		s.start()
+		s.note()
+	})
+}
+
+// note keeps what a late report will tell.
+func (s *server) note() {
+	s.loads = append(s.loads, sample{at: s.clock.now, running: s.running, queued: len(s.waiting)})
+	old := s.clock.now - 2*loadLag
+	for len(s.loads) > 2 && s.loads[1].at < old {
+		s.loads = s.loads[1:]
+	}
+}
+
+// noteCache keeps the cache's content for late reports.
+func (s *server) noteCache() {
+	s.caches = append(s.caches, cacheSample{at: s.clock.now, blocks: s.cache.Keys()})
+	for len(s.caches) > 2 && s.caches[1].at <= s.clock.now-cacheLag {
+		s.caches = s.caches[1:]
+	}
+}
+
+// report tells the load and the cache as they were a while ago. Some reports
+// start a new epoch, as after lost events.
+func (s *server) report(r *rand.Rand) *placement.Report {
+	report := &placement.Report{Slots: serverSlots, Leaving: s.leaving}
+	for _, l := range s.loads {
+		if l.at <= s.clock.now-loadLag {
+			report.Running, report.Queued = l.running, l.queued
+		}
+	}
+	if r.Float64() < gapRatio {
+		s.epoch++
+	}
+	report.CacheEpoch = s.epoch
+	if len(s.caches) > 0 && s.caches[0].at <= s.clock.now-cacheLag {
+		report.Cache = s.caches[0].blocks
+	}
+	return report
+}
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -1,6 +1,9 @@
 package placement
 
-import "math/rand/v2"
+import (
+	"math"
+	"math/rand/v2"
+)
 
 // Policy chooses one of at least one candidates.
 type Policy func(c *choice) int
@@ -68,19 +71,18 @@
 	loadBound = 1.25
 	// loadSlack is allowed on top, in slots.
 	loadSlack = 1.0
-	// holders is how many of the candidates with the longest prefixes are
-	// weighed beside two random ones.
-	holders = 3
+	// uncertainty is the spread of a load against its square root.
+	uncertainty = 0.6
 )
 
-// Chosen weighs the candidates with the longest cached prefixes and two
-// random ones by the time that the first token will probably take.
+// Chosen weighs a candidate with the longest cached prefix and two random ones
+// by the time that the first token will probably take.
 func Chosen(c *choice) int {
 	best, cost := -1, 0.0
 	bound := c.bound()
 	weigh := func(i int) {
 		v := &c.views[i]
-		if best >= 0 && v.load > bound*v.slots+loadSlack {
+		if best >= 0 && v.load > max(bound*v.slots+loadSlack, v.slots) {
 			return
 		}
 		if estimate := c.firstToken(v); best < 0 || estimate < cost {
@@ -90,7 +92,7 @@
 	a, b := c.two()
 	weigh(a)
 	weigh(b)
-	for _, i := range c.deepest() {
+	if i := c.holder(); i >= 0 {
 		weigh(i)
 	}
 	return best
@@ -98,14 +100,21 @@
 
 // firstToken estimates the time to the first token, in seconds.
 func (c *choice) firstToken(v *view) float64 {
-	waiting := max(0, v.load+1-v.slots)
-	wait := waiting / v.slots * c.costs.run
+	wait := waiting(v.load+1, v.slots) / v.slots * c.costs.run
 	// Prefills of one server take turns: what runs beside slows this one.
 	share := 1 + min(v.load, v.slots)/v.slots
 	prefill := float64(c.blocks-v.depth+1) * c.costs.block
 	return v.slow * (wait + prefill*share)
 }
 
+// waiting returns how many runs probably wait, given a late estimate of the
+// load: the mean of what exceeds the slots if the load is off by its square
+// root.
+func waiting(load, slots float64) float64 {
+	spread := uncertainty * math.Sqrt(load)
+	return spread * math.Log1p(math.Exp((load-slots)/spread))
+}
+
 // bound returns the load per slot from which on a cache does not count.
 func (c *choice) bound() float64 {
 	load, slots := 0.0, 0.0
@@ -116,34 +125,20 @@
 	return loadBound * load / slots
 }
 
-// deepest returns up to holders candidates with the longest prefixes.
-func (c *choice) deepest() []int {
-	var top [holders]int
-	count := 0
-	for i := range c.views {
-		if c.views[i].depth == 0 {
-			continue
-		}
-		at := count
-		for at > 0 && c.deeper(i, top[at-1]) {
-			at--
-		}
-		if at >= holders {
-			continue
+// holder returns a candidate with the longest prefix, or -1. Which one of many
+// that hold the same is left to chance: routers that all took the least loaded
+// would meet there, since they all know the load late.
+func (c *choice) holder() int {
+	best := -1
+	from := c.rand.IntN(len(c.views))
+	for k := range c.views {
+		i := (from + k) % len(c.views)
+		depth := c.views[i].depth
+		if depth > 0 && (best < 0 || depth > c.views[best].depth) {
+			best = i
 		}
-		count = min(count+1, holders)
-		copy(top[at+1:count], top[at:count-1])
-		top[at] = i
-	}
-	return top[:count:count]
-}
-
-func (c *choice) deeper(a, b int) bool {
-	va, vb := &c.views[a], &c.views[b]
-	if va.depth != vb.depth {
-		return va.depth > vb.depth
 	}
-	return relative(va) < relative(vb)
+	return best
 }
 
 func (c *choice) longest() int {
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -31,15 +31,16 @@
 	requests [slots]int64
 	retries  [slots]int64
 	slot     int64 // number of the newest slot since the zero time
+	now      func() time.Time
 }
 
-// NewBudget returns a budget without history.
-func NewBudget() *Budget {
-	return &Budget{slot: now()}
-}
-
-func now() int64 {
-	return time.Now().UnixNano() / int64(Window/slots)
+// NewBudget returns a budget without history. The clock may be nil for the
+// real one.
+func NewBudget(now func() time.Time) *Budget {
+	if now == nil {
+		now = time.Now
+	}
+	return &Budget{now: now}
 }
 
 // Request counts a request that came in.
@@ -68,7 +69,7 @@
 }
 
 func (b *Budget) advance() {
-	current := now()
+	current := b.now().UnixNano() / int64(Window/slots)
 	if current-b.slot >= slots {
 		b.requests, b.retries = [slots]int64{}, [slots]int64{}
 		b.slot = current
--- a/internal/router/chain.go
+++ b/internal/router/chain.go
@@ -78,7 +78,7 @@
 			key.New(placed, p.gates, filter.Chain(streams)),
 			admission,
 			waiting,
-			retryfilter.New(retry.NewBudget()),
+			retryfilter.New(retry.NewBudget(nil)),
 			admission,
 			place.New(placed),
 			once.New(p.claims, p.directory),
--- a/internal/router/loads.go
+++ b/internal/router/loads.go
@@ -22,6 +22,7 @@
 	directory *directory
 	picker    *placement.Picker
 	gates     *gates
+	routers   *routers
 	kick      func() // there may be more room than before
 	polls     *counter.Set
 }
@@ -32,6 +33,7 @@
 	defer ticker.Stop()
 	for {
 		l.directory.refresh()
+		l.routers.keep()
 		l.round(ctx)
 		l.kick()
 		select {
