--- a/cmd/camphor-measure/main.go
+++ b/cmd/camphor-measure/main.go
@@ -5,19 +5,22 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 
 	"github.com/alecthomas/kong"
 
 	"github.com/camphorlever/camphorlever/internal/measure"
 	"github.com/camphorlever/camphorlever/internal/measure/capacity"
+	"github.com/camphorlever/camphorlever/internal/measure/placement"
 	"github.com/camphorlever/camphorlever/internal/measure/schedules"
 )
 
 // groups lists what can be measured, in the order of the report.
-var groups = []measure.Group{
-	capacity.Group,
-	schedules.Group(),
-}
+var groups = slices.Concat(
+	[]measure.Group{capacity.Group},
+	[]measure.Group{schedules.Group()},
+	placement.Groups(),
+)
 
 type flags struct {
 	Only []string `arg:"" optional:"" help:"Groups to measure; all if none is named."`
