--- a/cmd/camphor-load/main.go
+++ b/cmd/camphor-load/main.go
@@ -19,9 +19,11 @@
 )
 
 type flags struct {
-	Send  sendCommand  `cmd:"" help:"Send requests and check their answers."`
-	Audit auditCommand `cmd:"" help:"Fold the ledger from the log and add it up."`
-	Call  callCommand  `cmd:"" help:"Make one HTTP call, as the demo does on the stand-ins."`
+	Send       sendCommand       `cmd:"" help:"Send requests and check their answers."`
+	Audit      auditCommand      `cmd:"" help:"Fold the ledger from the log and add it up."`
+	Call       callCommand       `cmd:"" help:"Make one HTTP call, as the demo does on the stand-ins."`
+	Overhead   overheadCommand   `cmd:"" help:"Measure the time that router and side process add to the first token."`
+	Throughput throughputCommand `cmd:"" help:"Measure what one router carries."`
 }
 
 type sendCommand struct {
