--- a/internal/load/script.go
+++ b/internal/load/script.go
@@ -84,15 +84,16 @@
 	}
 	call.Key, call.Once = uuid.NewString(), once
 	reply, err := r.caller(i).Send(r.ctx, r.router(i), call)
-	if problem := wrongChat(chat, reply, err); problem != "" {
+	if problem := WrongChat(chat, reply, err); problem != "" {
 		r.fault(kind, problem)
 		return
 	}
 	r.ran(kind, fmt.Sprintf("%s: %q -> %q (%d tokens)", chat.Model, prompt, shorten(reply.Text), reply.Tokens))
 }
 
-// wrongChat says what is wrong with the answer to a chat request.
-func wrongChat(chat Chat, reply Reply, err error) string {
+// WrongChat says what is wrong with the answer to a chat request; nothing if it
+// is whole and its own.
+func WrongChat(chat Chat, reply Reply, err error) string {
 	switch {
 	case err != nil:
 		return err.Error()
@@ -121,7 +122,7 @@
 	runs := [2]string{}
 	for i := range runs {
 		reply, err := r.caller(0).Send(r.ctx, r.router(i), call)
-		if problem := wrongChat(chat, reply, err); problem != "" {
+		if problem := WrongChat(chat, reply, err); problem != "" {
 			r.fault(kind, problem)
 			return
 		}
--- a/internal/options/check.go
+++ b/internal/options/check.go
@@ -37,6 +37,7 @@
 
 // value checks the next value of the document.
 func (c *checker) value(path string, t reflect.Type) error {
+	pointer := t.Kind() == reflect.Pointer
 	for t.Kind() == reflect.Pointer {
 		t = t.Elem()
 	}
@@ -47,6 +48,9 @@
 	if err != nil {
 		return syntaxError(path, err)
 	}
+	if token == nil && mayBeNull(t, pointer) {
+		return nil
+	}
 	switch t.Kind() {
 	case reflect.Struct:
 		return c.object(path, t, token)
@@ -59,6 +63,12 @@
 	}
 }
 
+// mayBeNull reports whether the JSON library writes an empty value of a type,
+// or of a pointer to it, as null.
+func mayBeNull(t reflect.Type, pointer bool) bool {
+	return pointer || t.Kind() == reflect.Slice || t.Kind() == reflect.Map
+}
+
 // decodesItself reports whether a type has its own idea of its JSON.
 func decodesItself(t reflect.Type) bool {
 	p := reflect.PointerTo(t)
--- a/internal/options/options_test.go
+++ b/internal/options/options_test.go
@@ -63,5 +63,6 @@
 	got := process{Shards: 8}
 	require.NoError(t, Load(file, &got))
 	require.Equal(t, process{VM: "a", Shards: 8, Peers: []peer{{Address: "x"}}}, got)
+	require.NoError(t, Decode([]byte(`{"vm":"a","peers":null,"named":null}`), &process{}))
 	require.ErrorContains(t, Load(file+"x", &got), "read settings")
 }
--- /dev/null
+++ b/test/e2e/faults_test.go
@@ -0,0 +1,255 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"github.com/camphorlever/camphorlever/internal/ident"
+)
+
+// streams sends requests with long answers to one router, all at once, and
+// returns their keys once every one of them runs, and a function that waits
+// for their ends.
+func (f *fleet) streams(n int, routerIndex, tokens int) (keys []string, wait func()) {
+	running := f.totalRuns()
+	group := conc.NewWaitGroup()
+	for i := range n {
+		key := fmt.Sprintf("stream-%d", i)
+		keys = append(keys, key)
+		group.Go(func() { f.chat(routerIndex, prompt(key, tokens), key, true) })
+	}
+	f.await(func() bool { return f.totalRuns() == running+n })
+	return keys, group.Wait
+}
+
+func prompt(key string, tokens int) string {
+	return fmt.Sprintf("%s [tokens=%d]", key, tokens)
+}
+
+func (f *fleet) totalRuns() int {
+	total := 0
+	for _, m := range f.models {
+		total += len(f.runs(m))
+	}
+	return total
+}
+
+// retried sends each key again at another router until it has its whole
+// answer. Every refusal on the way must leave the retry allowed.
+func (f *fleet) retried(keys []string, routerIndex, tokens int) {
+	f.t.Helper()
+	var mu sync.Mutex // guards wrong
+	wrong := map[string]string{}
+	group := conc.NewWaitGroup()
+	for _, key := range keys {
+		group.Go(func() {
+			problem := "never asked"
+			for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
+				if problem = f.chat(routerIndex, prompt(key, tokens), key, true); problem == "" {
+					return
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			wrong[key] = problem
+		})
+	}
+	group.Wait()
+	require.Empty(f.t, wrong)
+}
+
+func TestRouterIsKilledWithStreamsOpen(t *testing.T) {
+	f := newFleet(t, 2, 5*time.Millisecond)
+	before := f.totalRuns()
+	keys, wait := f.streams(6, 0, 200)
+	f.routers[0].signal(syscall.SIGKILL)
+	f.retried(keys, 1, 200)
+	wait()
+	require.Equal(t, before+len(keys), f.totalRuns(), "a retry ran again instead of attaching")
+	f.audited(keys...)
+}
+
+func TestRouterIsKilledWhileTheLogIsDown(t *testing.T) {
+	f := newFleet(t, 2, 5*time.Millisecond)
+	keys, wait := f.streams(4, 0, 200)
+	f.faults(f.platform, `{"log":"down"}`)
+	f.routers[0].signal(syscall.SIGKILL)
+	f.retried(keys, 1, 200)
+	wait()
+	f.faults(f.platform, `{"log":"up"}`)
+	f.audited(keys...)
+}
+
+func TestLogIsDownWhileServing(t *testing.T) {
+	f := newFleet(t, 2, time.Millisecond)
+	f.faults(f.platform, `{"log":"down"}`)
+	var keys []string
+	for i := range 6 {
+		key := fmt.Sprintf("outage-%d", i)
+		keys = append(keys, key)
+		require.Empty(t, f.chat(i%2, key, key, i%3 == 0))
+	}
+	refused := f.order(0, "order-in-outage")
+	require.NotNil(t, refused.Refusal, "%d %s", refused.Status, refused.Body)
+	require.Equal(t, "not_run", refused.Refusal.Ran)
+	require.NotContains(t, f.runs(f.desks[0]), ident.HashKey(team, "order-in-outage").String())
+	f.faults(f.platform, `{"log":"up"}`)
+	f.audited(keys...)
+	f.await(func() bool { return f.order(1, "order-in-outage").Status == http.StatusOK })
+	f.audited("order-in-outage")
+}
+
+func TestSideProcessIsPausedAndWakes(t *testing.T) {
+	f := newFleet(t, 1, 5*time.Millisecond)
+	keys, wait := f.streams(3, 0, 200)
+	f.models[0].signal(syscall.SIGSTOP)
+	// The routers give a silent connection up; the pause outlasts that.
+	time.AfterFunc(5*time.Second, func() { f.models[0].signal(syscall.SIGCONT) })
+	wait()
+	f.retried(keys, 1, 200)
+	f.audited(keys...)
+}
+
+func TestRouterIsPausedSealedAndWakes(t *testing.T) {
+	f := newFleet(t, 1, time.Millisecond)
+	f.routers[0].signal(syscall.SIGSTOP)
+	require.Equal(t, http.StatusNoContent, f.call(http.MethodDelete, f.platform+"/vms/"+string(f.routers[0].vm), nil))
+	require.Empty(t, f.chat(1, "meanwhile", "meanwhile", true))
+	next := f.length("fleet")
+	f.await(func() bool { return f.length("fleet") > next })
+	f.routers[0].signal(syscall.SIGCONT)
+	// The sealed router stops by itself; until then it answers truthfully.
+	var keys []string
+	for i := 0; ; i++ {
+		key := fmt.Sprintf("awake-%d", i)
+		problem := f.chat(0, key, key, true)
+		if problem == "" {
+			keys = append(keys, key)
+		}
+		select {
+		case <-f.routers[0].over:
+		default:
+			if i < 1000 {
+				continue
+			}
+			t.Fatal("the sealed router goes on")
+		}
+		break
+	}
+	f.audited(append(keys, "meanwhile")...)
+}
+
+// length returns the next offset of a stream.
+func (f *fleet) length(stream string) ident.Offset {
+	page, err := f.log.Read(f.ctx, readAll(stream))
+	require.NoError(f.t, err)
+	return page.Next
+}
+
+func TestWorkerLeavesUnderLoad(t *testing.T) {
+	f := newFleet(t, 2, 2*time.Millisecond)
+	stop := make(chan struct{})
+	var mu sync.Mutex // guards keys and wrong
+	var keys, wrong []string
+	group := conc.NewWaitGroup()
+	for worker := range 6 {
+		group.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				key := fmt.Sprintf("load-%d-%d", worker, i)
+				problem := f.chat(worker%2, prompt(key, 40), key, i%2 == 0)
+				mu.Lock()
+				keys = append(keys, key)
+				if problem != "" {
+					wrong = append(wrong, key+": "+problem)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	f.await(func() bool { return len(f.runs(f.models[0])) > 10 })
+	f.models[0].stop()
+	left, there := len(f.runs(f.models[0])), len(f.runs(f.models[1]))
+	f.await(func() bool { return len(f.runs(f.models[1])) > there+20 })
+	close(stop)
+	group.Wait()
+	require.Empty(t, wrong)
+	require.Len(t, f.runs(f.models[0]), left)
+	f.audited(keys...)
+}
+
+func TestOrdersRunAtMostOnce(t *testing.T) {
+	f := newFleet(t, 1, time.Millisecond)
+	f.faults(f.desks[0].url, `{"mode":"lose_replies"}`)
+	keys := []string{}
+	for i := range 3 {
+		key := fmt.Sprintf("lost-%d", i)
+		keys = append(keys, key)
+		for router := range 2 {
+			reply := f.order(router, key)
+			require.NotEqual(t, http.StatusOK, reply.Status)
+			require.NotNil(t, reply.Refusal, "%d %s", reply.Status, reply.Body)
+			require.NotEqual(t, "not_run", reply.Refusal.Ran, "the desk has run it")
+		}
+	}
+	f.faults(f.desks[0].url, `{"mode":"slow","slow_ms":800}`)
+	group := conc.NewWaitGroup()
+	for i := range 3 {
+		key := fmt.Sprintf("slow-%d", i)
+		keys = append(keys, key)
+		group.Go(func() { f.order(0, key) })
+	}
+	f.await(func() bool { return len(f.runs(f.desks[0])) >= 2+len(keys) })
+	f.routers[0].signal(syscall.SIGKILL)
+	group.Wait()
+	for _, key := range keys[3:] {
+		f.await(func() bool {
+			reply := f.order(1, key)
+			return reply.Status == http.StatusOK || reply.Refusal != nil && reply.Refusal.Ran != "not_run"
+		})
+	}
+	for key, n := range f.runs(f.desks[0]) {
+		require.Equal(t, 1, n, key)
+	}
+	f.audited()
+}
+
+func TestGracefulStopCutsNothingOff(t *testing.T) {
+	f := newFleet(t, 1, 2*time.Millisecond)
+	var mu sync.Mutex // guards wrong
+	var wrong []string
+	group := conc.NewWaitGroup()
+	before := f.totalRuns()
+	for i := range 4 {
+		key := fmt.Sprintf("open-%d", i)
+		group.Go(func() {
+			if problem := f.chat(0, prompt(key, 300), key, true); problem != "" {
+				mu.Lock()
+				defer mu.Unlock()
+				wrong = append(wrong, problem)
+			}
+		})
+	}
+	f.await(func() bool { return f.totalRuns() == before+4 })
+	f.routers[0].stop()
+	group.Wait()
+	require.Empty(t, strings.Join(wrong, "\n"))
+	f.audited("open-0", "open-1", "open-2", "open-3")
+	f.routers[1].stop()
+	f.models[0].stop()
+	f.desks[0].stop()
+	report := f.report()
+	require.Zero(t, report.Held(), "tokens are held after all have stopped")
+}
--- /dev/null
+++ b/test/e2e/fleet_test.go
@@ -0,0 +1,288 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/camphorlever/camphorlever/internal/audit"
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/ledger"
+	"github.com/camphorlever/camphorlever/internal/load"
+	"github.com/camphorlever/camphorlever/internal/logservice"
+	"github.com/camphorlever/camphorlever/internal/record"
+	"github.com/camphorlever/camphorlever/internal/router"
+	"github.com/camphorlever/camphorlever/internal/settings"
+	"github.com/camphorlever/camphorlever/internal/side"
+	"github.com/camphorlever/camphorlever/internal/standin/engine"
+)
+
+const (
+	team     ident.TeamID    = "county-sextons"
+	model    ident.ModelID   = "plot-answers"
+	desk     ident.ServiceID = "order-desk"
+	secret                   = "a sexton's key"
+	fleetKey                 = "the fleet's key"
+	shards                   = 2
+	topUp                    = 1_000_000
+	// operator writes the top-up as a writer that no process can be.
+	operator ident.Incarnation = 1 << 40
+)
+
+// node is a router, or a side process with its engine.
+type node struct {
+	*process
+	vm     ident.VMID
+	url    string // of the callers' listener, or of the engine
+	admin  string
+	engine *process
+}
+
+// fleet is a running deployment.
+type fleet struct {
+	t        *testing.T
+	ctx      context.Context
+	platform string
+	log      logservice.Log
+	caller   *load.Caller
+	routers  []*node
+	models   []*node
+	desks    []*node
+}
+
+// newFleet starts a platform, two routers, some model workers and one order
+// desk, and returns once every router serves both.
+func newFleet(t *testing.T, models int, tokenTime time.Duration) *fleet {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 3*patience)
+	t.Cleanup(cancel)
+	address := freePort(t)
+	f := &fleet{t: t, ctx: ctx, platform: "http://" + address, caller: load.NewCaller(secret)}
+	start(t, "platform", "standin-platform", "--listen", address)
+	f.log = logservice.NewHTTP(f.platform, nil)
+	f.await(func() bool { return f.call(http.MethodGet, f.platform+"/stats", nil) == http.StatusOK })
+	f.seed(models)
+	for i := range 2 {
+		f.routers = append(f.routers, f.router(fmt.Sprintf("router-%d", i)))
+	}
+	for i := range models {
+		id := fmt.Sprintf("model-%d", i)
+		f.models = append(f.models, f.server(id, "--models", string(model), "--token-time", tokenTime.String()))
+	}
+	f.desks = append(f.desks, f.server("desk-0", "--service"))
+	for i, r := range f.routers {
+		f.await(func() bool { return f.call(http.MethodGet, r.admin+"/readyz", nil) == http.StatusOK })
+		key := fmt.Sprintf("warm-%d", i)
+		f.succeeds(func() string { return f.chat(i, key, key, true) })
+		f.succeeds(func() string { return wrongOrder(f.order(i, "order-"+key)) })
+	}
+	return f
+}
+
+func (f *fleet) await(condition func() bool) {
+	f.t.Helper()
+	require.Eventually(f.t, condition, patience, poll)
+}
+
+// succeeds repeats an attempt until it finds nothing wrong.
+func (f *fleet) succeeds(attempt func() string) {
+	f.t.Helper()
+	problem := ""
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(poll) {
+		if problem = attempt(); problem == "" {
+			return
+		}
+	}
+	f.t.Fatal("does not succeed: " + problem)
+}
+
+func wrongOrder(reply load.Reply) string {
+	if reply.Status == http.StatusOK {
+		return ""
+	}
+	return fmt.Sprintf("status %d: %s", reply.Status, reply.Body)
+}
+
+func (f *fleet) call(method, url string, body any) int {
+	raw, err := json.Marshal(body)
+	require.NoError(f.t, err)
+	request, err := http.NewRequestWithContext(f.ctx, method, url, bytes.NewReader(raw))
+	require.NoError(f.t, err)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	require.NoError(f.t, response.Body.Close())
+	return response.StatusCode
+}
+
+// faults sets faults of a stand-in.
+func (f *fleet) faults(url, document string) {
+	f.t.Helper()
+	require.Equal(f.t, http.StatusOK, f.call(http.MethodPost, url+"/faults", json.RawMessage(document)))
+}
+
+// seed writes the settings and the top-up into the log.
+func (f *fleet) seed(models int) {
+	account := settings.Account{KeyHashes: []settings.KeyHash{settings.HashSecret(secret)}}
+	f.change("teams/"+settings.Path(team), settings.Team{
+		Accounts:        map[ident.AccountID]settings.Account{"bell": account},
+		Models:          []ident.ModelID{model},
+		Services:        []ident.ServiceID{desk},
+		Priority:        5,
+		Weight:          1,
+		MaxOutputTokens: 4096,
+	})
+	f.change("models/"+settings.Path(model), settings.Model{Version: "v1", ContextTokens: 16384, TemplateTokens: 4})
+	f.change("services/"+settings.Path(desk), settings.Service{Once: []string{http.MethodPost}, CostTokens: 10})
+	for i := range models {
+		id := fmt.Sprintf("model-%d", i)
+		f.change("servers/"+settings.Path(id), settings.Server{VM: vmOf(id), DataCentre: "waco", Models: []ident.ModelID{model}, Slots: 16})
+	}
+	f.change("servers/desk-0", settings.Server{VM: vmOf("desk-0"), DataCentre: "waco", Services: []ident.ServiceID{desk}, Slots: 16})
+	rec, err := record.New(ledger.KindTopUp, ledger.TopUp{Team: team, ID: "first", Tokens: topUp, Author: settings.Bootstrap})
+	require.NoError(f.t, err)
+	f.append(ledger.StreamOf(ledger.ShardOf(team, shards)), rec, 1)
+}
+
+var changes uint64 // makes the identities of settings changes
+
+func (f *fleet) change(path settings.Path, value any) {
+	raw, err := json.Marshal(value)
+	require.NoError(f.t, err)
+	rec, err := record.New(settings.KindChange, settings.Change{ID: string(path), Path: path, Base: ident.NoOffset, Author: settings.Bootstrap, Value: raw})
+	require.NoError(f.t, err)
+	changes++
+	f.append(settings.Stream, rec, changes)
+}
+
+func (f *fleet) append(stream logservice.Stream, rec record.Record, sequence uint64) {
+	batch := record.Batch{Identity: record.Identity{Writer: operator, Sequence: sequence}, Records: []record.Record{rec}}
+	raw, err := record.Marshal(batch)
+	require.NoError(f.t, err)
+	_, err = f.log.Append(f.ctx, stream, raw)
+	require.NoError(f.t, err)
+}
+
+func vmOf(id string) ident.VMID {
+	return ident.VMID("vm-" + id)
+}
+
+// config writes a settings file and puts the VM on the platform's list.
+func (f *fleet) config(id string, options any) string {
+	file := filepath.Join(f.t.TempDir(), id+".json")
+	raw, err := json.Marshal(options)
+	require.NoError(f.t, err)
+	require.NoError(f.t, os.WriteFile(file, raw, 0o600))
+	f.listVM(id)
+	return file
+}
+
+func (f *fleet) listVM(id string) {
+	vm := map[string]string{"data_centre": "waco", "state": "live"}
+	require.Equal(f.t, http.StatusOK, f.call(http.MethodPut, f.platform+"/vms/"+string(vmOf(id)), vm))
+}
+
+func (f *fleet) router(id string) *node {
+	o := router.DefaultOptions()
+	o.VM, o.DataCentre, o.PlatformURL, o.FleetKey, o.LedgerShards = vmOf(id), "waco", f.platform, fleetKey, shards
+	o.Listen, o.InternalListen, o.AdminListen = freePort(f.t), freePort(f.t), freePort(f.t)
+	o.BootstrapOperatorKeyHash = settings.HashSecret("operator")
+	n := &node{vm: o.VM, url: "http://" + o.Listen, admin: "http://" + o.AdminListen}
+	n.process = start(f.t, id, "camphor-router", "--config", f.config(id, o))
+	return n
+}
+
+func (f *fleet) server(id string, engineArgs ...string) *node {
+	o := side.DefaultOptions()
+	o.VM, o.DataCentre, o.Server, o.PlatformURL, o.FleetKey, o.LedgerShards = vmOf(id), "waco", ident.ServerID(id), f.platform, fleetKey, shards
+	address := freePort(f.t)
+	o.InternalListen, o.EngineURL, o.Service = freePort(f.t), "http://"+address, engineArgs[0] == "--service"
+	n := &node{vm: o.VM, url: o.EngineURL}
+	n.engine = start(f.t, "engine-"+id, "standin-engine", append([]string{"--listen", address, "--slots", "64"}, engineArgs...)...)
+	f.await(func() bool { return f.call(http.MethodGet, n.url+"/stats", nil) == http.StatusOK })
+	n.process = start(f.t, "side-"+id, "camphor-side", "--config", f.config(id, o))
+	return n
+}
+
+func chatOf(prompt string, stream bool) load.Chat {
+	messages := []engine.Message{{Role: "user", Content: prompt}}
+	return load.Chat{Model: string(model), Messages: messages, MaxTokens: 500, Stream: stream}
+}
+
+// chat sends a chat request and returns what is wrong with its answer: nothing
+// if it is whole and its own.
+func (f *fleet) chat(routerIndex int, prompt, key string, stream bool) string {
+	chat := chatOf(prompt, stream)
+	call, err := chat.Call()
+	require.NoError(f.t, err)
+	call.Key = key
+	reply, err := f.caller.Send(f.ctx, f.routers[routerIndex].url, call)
+	return load.WrongChat(chat, reply, err)
+}
+
+// order sends a call of the order desk; a status of 0 means no answer.
+func (f *fleet) order(routerIndex int, key string) load.Reply {
+	call := load.Call{Method: http.MethodPost, Path: "/services/" + string(desk) + "/orders", Key: key, Body: []byte(`{"copies":1}`)}
+	reply, err := f.caller.Send(f.ctx, f.routers[routerIndex].url, call)
+	if err != nil {
+		return load.Reply{}
+	}
+	return reply
+}
+
+// runs returns how often an engine ran what, by its own count.
+func (f *fleet) runs(n *node) map[string]int {
+	response, err := http.Get(n.url + "/stats")
+	require.NoError(f.t, err)
+	defer response.Body.Close()
+	var stats engine.Stats
+	require.NoError(f.t, json.NewDecoder(response.Body).Decode(&stats))
+	return stats.Runs
+}
+
+// audited waits until every key is billed once, and checks that none is billed
+// twice and nothing overspent.
+func (f *fleet) audited(keys ...string) {
+	f.t.Helper()
+	var report audit.Report
+	missing := ""
+	settled := func() bool {
+		var err error
+		if report, err = audit.Read(f.ctx, f.log, shards); err != nil {
+			return false
+		}
+		for _, key := range keys {
+			if report.Billed(ident.HashKey(team, key)) == 0 {
+				missing = key
+				return false
+			}
+		}
+		return true
+	}
+	require.Eventually(f.t, settled, patience, poll, "a run is not billed: %s", &missing)
+	for _, key := range keys {
+		require.Equal(f.t, 1, report.Billed(ident.HashKey(team, key)), key)
+	}
+	require.Zero(f.t, report.Overspend())
+}
+
+// report folds the ledger.
+func (f *fleet) report() audit.Report {
+	report, err := audit.Read(f.ctx, f.log, shards)
+	require.NoError(f.t, err)
+	return report
+}
+
+// readAll asks for a stream from its beginning.
+func readAll(stream string) logservice.ReadRequest {
+	return logservice.ReadRequest{Stream: logservice.Stream(stream)}
+}
