--- a/internal/engine/cases_test.go
+++ b/internal/engine/cases_test.go
@@ -119,6 +119,7 @@
 				got.Result = c.want.Result
 				require.Equal(t, c.want, got)
 				require.LessOrEqual(t, time.Since(start), c.within)
+				require.GreaterOrEqual(t, time.Since(start), c.deadline)
 				if c.cancels {
 					require.Contains(t, engine.seen(), cancelled)
 				} else {
@@ -232,8 +233,9 @@
 		{CachePage{Epoch: 1, First: 1, Events: []CacheEvent{stored(2, 20), removed(3, 10)}}, false, 0, []uint64{20}},
 		{CachePage{Epoch: 1, First: 1, Events: []CacheEvent{stored(5, 50)}}, true, 1, []uint64{50}},
 		{CachePage{Epoch: 1, First: 9, Events: []CacheEvent{stored(9, 90)}}, true, 2, []uint64{90}},
-		{CachePage{Epoch: 2, First: 1}, true, 3, []uint64{}},
-		{CachePage{Epoch: 2, First: 1, Events: []CacheEvent{stored(1, 11)}}, false, 3, []uint64{11}},
+		{CachePage{Epoch: 1, First: 12}, true, 3, []uint64{}},
+		{CachePage{Epoch: 2, First: 1}, true, 4, []uint64{}},
+		{CachePage{Epoch: 2, First: 1, Events: []CacheEvent{stored(1, 11)}}, false, 4, []uint64{11}},
 	}
 	for i, s := range steps {
 		require.Equal(t, s.lost, c.Apply(s.page), "step %d", i)
--- a/internal/engine/chat.go
+++ b/internal/engine/chat.go
@@ -139,15 +139,15 @@
 	}
 	defer response.Body.Close()
 	watch.sign()
-	switch response.StatusCode {
-	case http.StatusOK:
-	case http.StatusNotFound:
-		if request.Method == http.MethodGet {
-			return r.failed(endLost, "engine has lost the stream")
-		}
+	first := request.Method == http.MethodPost
+	switch {
+	case response.StatusCode == http.StatusOK:
+	case first:
 		return r.refused(response)
+	case response.StatusCode == http.StatusNotFound:
+		return r.failed(endLost, "engine has lost the stream")
 	default:
-		return r.refused(response)
+		return r.broken(watch)
 	}
 	r.outcome.Reached = true
 	r.sink.Result(wire.Result{Status: http.StatusOK, ContentType: eventStream})
@@ -251,7 +251,6 @@
 		r.outcome.Result = wire.Result{Status: http.StatusOK, ContentType: eventStream}
 	case endRefused:
 		r.outcome.Complete = r.outcome.Result.Status < http.StatusInternalServerError && r.outcome.Result.Status != http.StatusTooManyRequests
-		r.outcome.Reached = false
 	case endNotSent:
 		r.outcome.Reached = false
 	case endLost:
--- a/internal/engine/chat_test.go
+++ b/internal/engine/chat_test.go
@@ -79,6 +79,32 @@
 			},
 			requests: []string{"POST /v1/chat/completions", "GET /streams/7-1?from=2"},
 		},
+		"slow but not silent": {
+			handle: func(_ int, w http.ResponseWriter, _ *http.Request) {
+				for i := range 5 {
+					time.Sleep(DefaultSilence * 3 / 4)
+					tokens(w, chatID, i, i+1)
+				}
+				finish(w, chatID, 9, 5)
+			},
+			requests: []string{"POST /v1/chat/completions"},
+			within:   5 * DefaultSilence,
+		},
+		"engine is down for a moment": {
+			handle: func(n int, w http.ResponseWriter, _ *http.Request) {
+				switch n {
+				case 0:
+					tokens(w, chatID, 0, 2)
+					panic(http.ErrAbortHandler)
+				case 1, 2: // the resumption and the probe
+					http.Error(w, "down", http.StatusServiceUnavailable)
+				default:
+					whole(w, 2)
+				}
+			},
+			requests: []string{"POST /v1/chat/completions", "GET /streams/7-1?from=2", "GET /load", "GET /streams/7-1?from=2"},
+			within:   time.Second,
+		},
 		"malformed event": {
 			handle: func(n int, w http.ResponseWriter, _ *http.Request) {
 				if n == 0 {
