Administration interface: settings, history, top-ups, ledger, keys, look-up, drain, stuck grants, destroyed VMs

Found by TestKeysAreStoredHashed on its first run: a new key was added to a team decoded without defaults, so a left-out weight became 0 and a left-out priority would have become 0, the first. camphorctl's account create had the same fault. Both now decode over settings.DefaultTeam.

--- a/internal/ctl/team.go
+++ b/internal/ctl/team.go
@@ -76,7 +76,7 @@
 	if present.Version == ident.NoOffset {
 		return errors.Errorf("team %s does not exist", c.Team)
 	}
-	var team settings.Team
+	team := settings.DefaultTeam()
 	if err := json.Unmarshal(present.Value, &team); err != nil {
 		return errors.Wrapf(err, "team %s", c.Team)
 	}
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -41,6 +41,7 @@
 	AnswerNotRetained  Code = "answer_not_retained" // ran, its answer is no longer buffered
 	RetryBudgetSpent   Code = "retry_budget_spent"
 	ConflictingVersion Code = "conflicting_version" // settings changed since they were read
+	NotFound           Code = "not_found"
 	Internal           Code = "internal"
 )
 
--- a/internal/refusal/status.go
+++ b/internal/refusal/status.go
@@ -18,7 +18,7 @@
 		return http.StatusUnauthorized
 	case Forbidden:
 		return http.StatusForbidden
-	case UnknownModel, UnknownService:
+	case UnknownModel, UnknownService, NotFound:
 		return http.StatusNotFound
 	case KeyReused:
 		return http.StatusUnprocessableEntity
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -4,9 +4,12 @@
 	"context"
 	"expvar"
 	"net/http"
+
+	"github.com/camphorlever/camphorlever/internal/admin"
 )
 
-// adminHandler serves health, readiness and the counters.
+// adminHandler serves health, readiness, the counters and the administration
+// interface.
 func (r *Router) adminHandler() http.Handler {
 	routes := http.NewServeMux()
 	routes.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
@@ -20,6 +23,7 @@
 		w.WriteHeader(http.StatusOK)
 	})
 	routes.Handle("GET /debug/vars", expvar.Handler())
+	routes.Handle(admin.Root+"/", r.administration())
 	return routes
 }
 
--- a/internal/settings/build.go
+++ b/internal/settings/build.go
@@ -38,6 +38,12 @@
 	}
 }
 
+// DefaultTeam returns the values of a team's fields that are left out. Whoever
+// changes a subtree that it has read decodes over them.
+func DefaultTeam() Team {
+	return Team{Priority: defaultPriority, Weight: defaultWeight}
+}
+
 // HashSecret returns the form in which a secret key is stored.
 func HashSecret(secret string) KeyHash {
 	sum := sha256.Sum256([]byte(secret))
@@ -96,7 +102,7 @@
 	case string(PathFleet):
 		decodeInto(value, &t.Fleet)
 	case collectionTeams:
-		team := Team{Priority: defaultPriority, Weight: defaultWeight}
+		team := DefaultTeam()
 		if decodeInto(value, &team) {
 			t.Teams[ident.TeamID(name)] = team
 		}
