Administration interface: the repeated change is told as accepted also when its author has lost the right since

The test now takes the right away between the two calls.

Not caught by any test: history picking another change of the same log entry.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -32,6 +32,9 @@
 }
 func (nobody) Close() error { return nil }
 
+// ana is an operator with the rights to one team.
+var ana = `{"subtrees":["teams/waco"],"top_ups":["waco"],"key_hashes":["` + string(settings.HashSecret("ana")) + `"]}`
+
 // router is the administration interface of one node on a log with faults.
 type router struct {
 	t       *testing.T
@@ -53,7 +56,7 @@
 		r.put("boot", "operators/root", `{"name":"Root","subtrees":["*"],"top_ups":["*"],"key_hashes":["`+string(settings.HashSecret("root"))+`"]}`, -1, 200)
 		r.put("root", "models/reader", `{"context_tokens":1000}`, -1, 200)
 		r.put("root", "teams/waco", `{"models":["reader"],"accounts":{"web":{}}}`, -1, 200)
-		r.put("root", "operators/ana", `{"subtrees":["teams/waco"],"top_ups":["waco"],"key_hashes":["`+string(settings.HashSecret("ana"))+`"]}`, -1, 200)
+		r.put("root", "operators/ana", ana, -1, 200)
 		test(r)
 	})
 }
@@ -170,6 +173,8 @@
 		r.log.Down(false)
 		time.Sleep(time.Minute)
 		require.Equal(r.t, true, r.putID("ana", "teams/waco", value, base, 200, "change-1")["repeated"])
+		r.put("root", "operators/ana", strings.Replace(ana, "teams/waco", "teams/other", 1), r.version("operators/ana"), 200)
+		require.Equal(r.t, true, r.putID("ana", "teams/waco", value, base, 200, "change-1")["repeated"], "also without the right to it now")
 		document := r.want(200, "ana", http.MethodPost, "topups", topUp)
 		require.Equal(r.t, true, document["repeated"])
 		require.EqualValues(r.t, 500, document["budget"].(map[string]any)["top_ups"], "paid once")
