--- a/internal/engine/cases_test.go
+++ b/internal/engine/cases_test.go
@@ -44,12 +44,16 @@
 	}{
 		"not reachable": {refuse: true, want: gate.Outcome{Result: wire.Result{Status: 502}}},
 		"caller's mistake": {
-			handle: func(_ int, w http.ResponseWriter, _ *http.Request) { http.Error(w, "no such model", 404) },
-			want:   gate.Outcome{Complete: true, Result: wire.Result{Status: 404}},
+			handle: func(_ int, w http.ResponseWriter, _ *http.Request) {
+				http.Error(w, "no such model", http.StatusNotFound)
+			},
+			want: gate.Outcome{Complete: true, Result: wire.Result{Status: 404}},
 		},
 		"engine down": {
-			handle: func(_ int, w http.ResponseWriter, _ *http.Request) { http.Error(w, "down", 503) },
-			want:   gate.Outcome{Result: wire.Result{Status: 503}},
+			handle: func(_ int, w http.ResponseWriter, _ *http.Request) {
+				http.Error(w, "down", http.StatusServiceUnavailable)
+			},
+			want: gate.Outcome{Result: wire.Result{Status: 503}},
 		},
 		"engine's failure": {
 			handle: func(_ int, w http.ResponseWriter, _ *http.Request) {
@@ -62,7 +66,7 @@
 		"engine restarted": {
 			handle: func(n int, w http.ResponseWriter, _ *http.Request) {
 				if n > 0 {
-					http.Error(w, "unknown stream", 404)
+					http.Error(w, "unknown stream", http.StatusNotFound)
 					return
 				}
 				some(w)
@@ -73,7 +77,7 @@
 		"engine never got it": {
 			handle: func(n int, w http.ResponseWriter, r *http.Request) {
 				if n > 0 {
-					http.Error(w, "unknown stream", 404)
+					http.Error(w, "unknown stream", http.StatusNotFound)
 					return
 				}
 				panic(http.ErrAbortHandler)
@@ -191,11 +195,15 @@
 		"repeated after a broken connection": {handle: fail, requests: 2, want: gate.Outcome{Complete: true, Reached: true, Result: wire.Result{Status: 200}}},
 		"not to be repeated":                 {once: true, handle: fail, requests: 1, want: gate.Outcome{Reached: true, Result: wire.Result{Status: 502}}},
 		"server's error is the answer": {
-			handle:   func(_ int, w http.ResponseWriter, _ *http.Request) { http.Error(w, "no", 500) },
+			handle: func(_ int, w http.ResponseWriter, _ *http.Request) {
+				http.Error(w, "no", http.StatusInternalServerError)
+			},
 			requests: 1, want: gate.Outcome{Complete: true, Reached: true, Result: wire.Result{Status: 500}},
 		},
 		"redirect is the answer": {
-			handle:   func(_ int, w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/elsewhere", 307) },
+			handle: func(_ int, w http.ResponseWriter, r *http.Request) {
+				http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+			},
 			requests: 1, want: gate.Outcome{Complete: true, Reached: true, Result: wire.Result{Status: 307}},
 		},
 	}
--- a/internal/side/handler.go
+++ b/internal/side/handler.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"crypto/subtle"
 	"io"
 	"net/http"
 	"time"
@@ -15,6 +14,7 @@
 
 	"github.com/camphorlever/camphorlever/internal/counter"
 	"github.com/camphorlever/camphorlever/internal/gate"
+	"github.com/camphorlever/camphorlever/internal/rpc"
 	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
@@ -66,8 +66,7 @@
 // guard lets only the fleet's own processes through.
 func (h *Handler) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		given := r.Header.Get(wire.FleetKeyHeader)
-		if subtle.ConstantTimeCompare([]byte(given), []byte(h.fleetKey)) != 1 {
+		if !rpc.HasFleetKey(r, h.fleetKey) {
 			h.counts.Inc("wrong_fleet_key")
 			http.Error(w, "wrong fleet key", http.StatusForbidden)
 			return
--- a/internal/side/world_test.go
+++ b/internal/side/world_test.go
@@ -31,8 +31,8 @@
 
 const (
 	team     ident.TeamID = "team"
-	fleetKey              = "fleet"
-	budget                = 10_000 // tokens
+	fleetKey string       = "fleet"
+	budget   int64        = 10_000 // tokens
 )
 
 // slowEngine answers chats with one token a second, as many as max_tokens,
@@ -55,7 +55,10 @@
 	var count int
 	fmt.Sscanf(string(raw[strings.Index(string(raw), `"max_tokens":`):]), `"max_tokens":%d`, &count)
 	for i := range count {
-		time.Sleep(time.Second)
+		pauseFor(r.Context(), time.Second)
+		if r.Context().Err() != nil {
+			return
+		}
 		fmt.Fprintf(w, "id: %d\ndata: {\"id\":%q,\"choices\":[{\"delta\":{\"content\":\"w\"}}]}\n\n", i, id)
 		w.(http.Flusher).Flush()
 	}
