--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -116,8 +116,7 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return true
 	case <-ctx.Done():
-		return false
 	}
+	return ctx.Err() == nil
 }
