--- /dev/null
+++ b/internal/filter/key/key_test.go
@@ -0,0 +1,79 @@
+package key
+
+import (
+	"context"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/camphorlever/camphorlever/internal/filter"
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/settings"
+	"github.com/camphorlever/camphorlever/internal/wire"
+)
+
+// gates are two homes; a state missing means that the home does not answer.
+type gates map[ident.Incarnation]wire.KeyState
+
+func (g gates) Homes(*filter.Request) []filter.Target {
+	return []filter.Target{{Gate: 1}, {Gate: 2}}
+}
+
+func (g gates) Lookup(_ context.Context, t filter.Target, _ ident.Key) (wire.LookupReply, error) {
+	state, ok := g[t.Gate]
+	if !ok {
+		return wire.LookupReply{}, errors.New("cut")
+	}
+	return wire.LookupReply{Gate: t.Gate, State: state}, nil
+}
+
+func TestFirstAttemptIsFound(t *testing.T) {
+	cases := map[string]struct {
+		gates      gates
+		unkeyed    bool
+		once       bool
+		unreadable map[ident.Incarnation]bool // found, but without an answer to serve
+		read       []ident.Incarnation
+		next       bool
+		tried      []ident.Incarnation
+	}{
+		"no key":                  {gates: gates{1: wire.KeyDone}, unkeyed: true, next: true},
+		"new":                     {gates: gates{1: wire.KeyUnknown, 2: wire.KeyUnknown}, next: true},
+		"sealed here, new there":  {gates: gates{1: wire.KeySealed, 2: wire.KeyUnknown}, next: true},
+		"running at the first":    {gates: gates{1: wire.KeyRunning, 2: wire.KeyUnknown}, read: []ident.Incarnation{1}},
+		"done at the second":      {gates: gates{1: wire.KeyUnknown, 2: wire.KeyDone}, read: []ident.Incarnation{2}},
+		"first cut off, done":     {gates: gates{2: wire.KeyDone}, read: []ident.Incarnation{2}},
+		"both cut off":            {gates: gates{}, next: true},
+		"failed, and run again":   {gates: gates{1: wire.KeyDone, 2: wire.KeyUnknown}, unreadable: map[ident.Incarnation]bool{1: true}, read: []ident.Incarnation{1}, next: true, tried: []ident.Incarnation{1}},
+		"failed, then done there": {gates: gates{1: wire.KeyDone, 2: wire.KeyDone}, unreadable: map[ident.Incarnation]bool{1: true}, read: []ident.Incarnation{1, 2}, tried: []ident.Incarnation{1}},
+		"once is left to claims":  {gates: gates{1: wire.KeyDone}, once: true, next: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := &filter.Request{ID: ident.NewNonce(), CallerKey: "q1", Once: c.once, Caller: settings.Caller{Team: "a"}}
+			if c.unkeyed {
+				r.CallerKey = ""
+			}
+			var read []ident.Incarnation
+			next := false
+			attach := func(_ context.Context, r *filter.Request) filter.Outcome {
+				require.True(t, r.Attach)
+				read = append(read, r.Target.Gate)
+				if c.unreadable[r.Target.Gate] {
+					return filter.Outcome{Retry: "failed"}
+				}
+				return filter.Answered()
+			}
+			New(c.gates, c.gates, attach).Handle(t.Context(), r, func(context.Context, *filter.Request) filter.Outcome {
+				next = true
+				return filter.Answered()
+			})
+			require.Equal(t, c.read, read)
+			require.Equal(t, c.next, next)
+			require.Equal(t, c.tried, r.Tried)
+			require.False(t, r.Attach)
+			require.Equal(t, !c.unkeyed, r.Key == ident.HashKey("a", "q1"))
+		})
+	}
+}
