Gate's limit of runs follows the server's slots; the path measured with real processes

Cause: throughput over one router, 12,000 requests on 600 streams, failed 8,009 requests with no_server and retry_budget_spent. The gate refused beyond 256 runs although its server had 4,096 slots; the router's queue counts slots, so it let them through, and the refusals ate the retry budget. Ruled out: the router's own room (it follows the reported slots) and the budget (no budget refusal was counted). Conclusion: the gate's limit is 4 times the slots, at least 256.

--- a/cmd/camphor-load/path.go
+++ b/cmd/camphor-load/path.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"time"
 
@@ -55,6 +56,9 @@
 	emit("path.throughput.streams", float64(c.Concurrent), "open")
 	emit("path.throughput.failed", float64(done.Failed), "requests")
 	emit("path.throughput.elapsed", seconds, "s")
+	for reason, n := range done.Reasons {
+		fmt.Fprintf(os.Stderr, "measure: %d requests failed: %s\n", n, reason)
+	}
 	return nil
 }
 
--- a/internal/gate/begin.go
+++ b/internal/gate/begin.go
@@ -62,7 +62,7 @@
 			return wire.BeginSealed
 		}
 	}
-	if g.running.Load() >= int64(g.config.MaxRunning) || g.buffer.full() {
+	if g.running.Load() >= g.maxRunning.Load() || g.buffer.full() {
 		return wire.BeginFull
 	}
 	return wire.BeginStarted
--- a/internal/gate/begin_test.go
+++ b/internal/gate/begin_test.go
@@ -24,7 +24,7 @@
 		"sealed router":        {func(b *bench, r *wire.BeginRequest) { b.lives.sealed.Store(uint64(r.Router)) }, wire.BeginSealed},
 		"sealed holder":        {func(b *bench, r *wire.BeginRequest) { b.lives.sealed.Store(uint64(r.Holder)) }, wire.BeginSealed},
 		"leaving":              {func(b *bench, r *wire.BeginRequest) { b.Leave() }, wire.BeginLeaving},
-		"no slot":              {func(b *bench, r *wire.BeginRequest) { b.config.MaxRunning = 0 }, wire.BeginFull},
+		"no slot":              {func(b *bench, r *wire.BeginRequest) { b.SetMaxRunning(0) }, wire.BeginFull},
 		"running, leaving": {func(b *bench, r *wire.BeginRequest) {
 			b.Begin(r)
 			b.Leave()
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -45,6 +45,7 @@
 	leaving     atomic.Bool
 	running     atomic.Int64
 	numbers     numbers
+	maxRunning  atomic.Int64 // runs at once
 	lastStart   atomic.Int64 // Unix nanoseconds
 	firstEvent  atomic.Int64 // smoothed time from start to first event, nanoseconds
 	shards      [shardCount]shard
@@ -71,6 +72,7 @@
 	for i := range g.shards {
 		g.shards[i].init()
 	}
+	g.maxRunning.Store(int64(config.MaxRunning))
 	g.numbers.init()
 	g.buffer.init(config.BufferBytes, config.Retention)
 	return g
@@ -97,6 +99,12 @@
 	g.bury(g.buffer.shrink(time.Now()))
 }
 
+// SetMaxRunning changes how many runs the gate starts at once. Runs in
+// progress go on.
+func (g *Gate) SetMaxRunning(runs int) {
+	g.maxRunning.Store(int64(runs))
+}
+
 // Running returns the number of runs in progress.
 func (g *Gate) Running() int {
 	return int(g.running.Load())
--- a/internal/load/path.go
+++ b/internal/load/path.go
@@ -4,9 +4,13 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,12 +44,15 @@
 	Requests int64
 	Tokens   int64
 	Failed   int64
+	Reasons  map[string]int // failures by message
 	Elapsed  time.Duration
 }
 
 const (
 	pathIdleConns = 4096
 	percentile    = 0.95
+	// maxRefusalBytes bounds what is read of an answer that is an error.
+	maxRefusalBytes = 64 << 10
 )
 
 // Open prepares the client.
@@ -81,7 +88,8 @@
 
 // Throughput sends requests over a number of concurrent streams.
 func (p *Path) Throughput(ctx context.Context, requests, concurrent, tokens int) Throughput {
-	var done Throughput
+	done := Throughput{Reasons: map[string]int{}}
+	var mu sync.Mutex // guards done.Reasons
 	var generated, failed atomic.Int64
 	start := time.Now()
 	workers := pool.New().WithMaxGoroutines(concurrent)
@@ -90,6 +98,9 @@
 			_, got, err := p.stream(ctx, p.Router, p.Secret, tokens)
 			if err != nil {
 				failed.Add(1)
+				mu.Lock()
+				done.Reasons[err.Error()]++
+				mu.Unlock()
 			}
 			generated.Add(got)
 		})
@@ -107,7 +118,7 @@
 func (p *Path) stream(ctx context.Context, base, secret string, tokens int) (time.Duration, int64, error) {
 	chat := Chat{
 		Model:     p.Model,
-		Messages:  []engine.Message{{Role: "user", Content: "Where does section nine, row four begin?"}},
+		Messages:  []engine.Message{{Role: "user", Content: fmt.Sprintf("Where does section nine, row four begin? [tokens=%d]", tokens)}},
 		MaxTokens: tokens,
 		Stream:    true,
 	}
@@ -130,11 +141,21 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return 0, 0, errors.Errorf("status %d", response.StatusCode)
+		body, _ := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes))
+		return 0, 0, errors.Errorf("status %d: %s", response.StatusCode, refusalCode(body))
 	}
 	return readTimed(bufio.NewScanner(response.Body), start)
 }
 
+// refusalCode returns the code of a refusal's JSON.
+func refusalCode(body []byte) string {
+	var e event
+	if json.Unmarshal(body, &e) != nil || e.Error == nil {
+		return "not a refusal"
+	}
+	return e.Error.Code
+}
+
 // readTimed reads a stream to its end.
 func readTimed(lines *bufio.Scanner, start time.Time) (first time.Duration, tokens int64, err error) {
 	for lines.Scan() {
--- a/internal/side/process.go
+++ b/internal/side/process.go
@@ -18,11 +18,15 @@
 	"github.com/camphorlever/camphorlever/internal/logservice"
 	"github.com/camphorlever/camphorlever/internal/node"
 	"github.com/camphorlever/camphorlever/internal/rpc"
+	"github.com/camphorlever/camphorlever/internal/settings"
 	"github.com/camphorlever/camphorlever/internal/vmlist"
 )
 
 const sweepInterval = time.Second
 
+// queuedPerSlot bounds the runs at a backend server by its slots.
+const queuedPerSlot = 4
+
 // ErrSealed means that the fleet holds this life for over. The process has
 // let its runs end; it has to be started anew.
 var ErrSealed = node.ErrSealed
@@ -171,12 +175,20 @@
 // sweep drops old answers and applies the settings' limits.
 func (p *Process) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
-		limits := p.node.Settings().Fleet
+		tree := p.node.Settings()
+		limits := tree.Fleet
 		p.gate.SetLimits(int64(limits.AnswerBufferBytes), time.Duration(limits.AnswerRetentionS)*time.Second)
+		p.gate.SetMaxRunning(maxRunning(tree.Servers[p.options.Server]))
 		pauseFor(ctx, sweepInterval)
 	}
 }
 
+// maxRunning leaves room for runs that wait in the backend server's own queue,
+// beyond what routers send it by its slots.
+func maxRunning(server settings.Server) int {
+	return max(gate.DefaultMaxRunning, queuedPerSlot*server.Slots)
+}
+
 // Ready returns nil if the process takes new work.
 func (p *Process) Ready() error {
 	if p.gate.Leaving() {
