--- a/cmd/camphor-measure/main.go
+++ b/cmd/camphor-measure/main.go
@@ -5,21 +5,28 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 
 	"github.com/alecthomas/kong"
 
 	"github.com/camphorlever/camphorlever/internal/measure"
 	"github.com/camphorlever/camphorlever/internal/measure/budget"
 	"github.com/camphorlever/camphorlever/internal/measure/capacity"
+	"github.com/camphorlever/camphorlever/internal/measure/ledgerbench"
+	"github.com/camphorlever/camphorlever/internal/measure/placement"
 	"github.com/camphorlever/camphorlever/internal/measure/schedules"
 )
 
 // groups lists what can be measured, in the order of the report.
-var groups = []measure.Group{
-	capacity.Group,
-	budget.Group,
-	schedules.Group,
-}
+var groups = slices.Concat(
+	[]measure.Group{
+		capacity.Group,
+		budget.Group,
+		ledgerbench.Group,
+		schedules.Group,
+	},
+	placement.Groups(),
+)
 
 type flags struct {
 	Only []string `arg:"" optional:"" help:"Groups to measure; all if none is named."`
