Grants: held runs, drain, and lenders that close gone borrowers

A reservation of unknown outcome stayed reserved for the life of the router. HoldRun names the run's key and gate; the controller settles it once the ledger shows what the key was billed for or that the gate is closed, and with the whole bound if the bill may have been forgotten.

Drain ends a router's part in the budgets before it deregisters. It fails while tokens are reserved or lent: runs could start under the grants of a life that has deregistered, so such a router is left to be sealed.

A borrower without a grant of its own may stay unclosed for long, since the closer looks for tokens; its loans then stayed lent. The lender now writes the Close itself, on the fleet's proof (budget.Fleet gets Closed).

--- a/internal/budget/acquire.go
+++ b/internal/budget/acquire.go
@@ -52,6 +52,20 @@
 	}
 }
 
+// HoldRun is Hold for a run whose key and gate are known. The reservation is
+// settled by the controller once the ledger shows what the key was billed for,
+// or that the gate is closed; Settle must not be called for it any more.
+func (g *Grants) HoldRun(r Reservation, key ident.Key, gate ident.Incarnation) {
+	if r.IsZero() {
+		return
+	}
+	g.counts.Inc("held")
+	h := r.hand
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.held = append(h.held, heldRun{reservation: r, key: key, gate: gate})
+}
+
 // Acquire reserves tokens: from what is in hand, else by a draw, else by
 // loans, else by waiting a while for runs in progress to end. The refusal says
 // whether the ledger shows the budget to be spent or it cannot be known now.
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -43,6 +43,9 @@
 	Routers() []Router
 	// Sealed reports whether a life is sealed or closed.
 	Sealed(ident.Incarnation) bool
+	// Closed reports whether the fleet stream proves that no run which a life
+	// began goes on and that all are settled. It stays true.
+	Closed(ident.Incarnation) bool
 }
 
 // Peers calls other routers. An error means that the outcome is unknown.
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -197,6 +197,107 @@
 	require.Equal(t, own, w.state.Grant("a", 2).Outstanding())
 }
 
+// TestALenderClosesAGoneBorrower: a borrower that holds no grant of its own
+// may be closed by nobody else.
+func TestALenderClosesAGoneBorrower(t *testing.T) {
+	w := newWorld(t, 2, testPolicy)
+	w.topUp("x", 1000)
+	w.routers[2].Settle(w.mustAcquire(2, 1000), 0)
+	w.mustAcquire(1, 300)
+	w.sealed[1], w.closed[1] = true, true
+	g := w.routers[2]
+	for range 2 {
+		g.reclaim(g.hand("a"))
+	}
+	require.True(t, w.state.Closed(1))
+	own, _ := w.free(2)
+	require.EqualValues(t, 1000, own)
+}
+
+// TestHeldReservations lists what the ledger may show of a run of unknown
+// outcome with a bound of 300 tokens.
+func TestHeldReservations(t *testing.T) {
+	run := ident.RunID{Gate: 50, Number: 1}
+	for _, c := range []struct {
+		name string
+		show func(w *world)
+		free int64
+	}{
+		{"nothing", func(*world) {}, 700},
+		{"settled", func(w *world) { w.settle(run, 1, 120) }, 880},
+		{"settled by a stranger's gate", func(w *world) { w.settle(ident.RunID{Gate: 51, Number: 1}, 1, 120) }, 700},
+		{"gate closed", func(w *world) { w.do(9, ledger.KindClose, ledger.Close{Holder: 50}) }, 1000},
+		{"settled, then gate closed", func(w *world) {
+			w.settle(run, 1, 120)
+			w.do(9, ledger.KindClose, ledger.Close{Holder: 50})
+		}, 880},
+		{"gate closed, bills forgotten", func(w *world) {
+			for n := range ledger.BilledKeyWindow + 1 {
+				w.settle(ident.RunID{Gate: 60, Number: uint64(n + 1)}, n+2, 1)
+			}
+			w.do(9, ledger.KindClose, ledger.Close{Holder: 50})
+		}, 700},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, 1, testPolicy)
+			w.topUp("x", 100_000)
+			w.do(7, ledger.KindDraw, ledger.Draw{Team: "a", Asked: 99_000})
+			w.routers[1].Settle(w.mustAcquire(1, 1000), 0)
+			w.routers[1].HoldRun(w.mustAcquire(1, 300), testKey(1), 50)
+			c.show(w)
+			for range 2 {
+				w.routers[1].resolve(w.routers[1].hand("a"))
+				own, _ := w.free(1)
+				require.Equal(t, c.free, own)
+			}
+		})
+	}
+}
+
+// TestDrain gives everything back, and fails while others may still start
+// runs under the grant.
+func TestDrain(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		busy func(w *world)
+		ok   bool
+	}{
+		{"idle", func(*world) {}, true},
+		{"a run is in progress", func(w *world) { w.mustAcquire(1, 10) }, false},
+		{"a loan is out", func(w *world) { w.mustAcquire(2, 400) }, false},
+		{"a loan was used and settled", func(w *world) {
+			r := w.mustAcquire(2, 400)
+			w.settle(ident.RunID{Gate: 50, Number: 1}, 1, 400)
+			w.routers[2].Settle(r, 400)
+		}, true},
+		{"a loan was repaid", func(w *world) {
+			w.routers[2].Settle(w.mustAcquire(2, 400), 0)
+			w.routers[2].repayIdle(context.Background(), w.routers[2].hand("a"), w.now, 0)
+		}, true},
+		{"the lender does not answer", func(w *world) {
+			w.routers[2].Settle(w.mustAcquire(2, 400), 0)
+			w.routers[1], w.routers[2] = w.routers[2], w.routers[1]
+			w.mute[1] = true
+		}, false},
+		{"the log is down", func(w *world) { w.down = true }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 2, testPolicy)
+				w.topUp("x", 1000)
+				w.routers[1].Settle(w.mustAcquire(1, 1000), 0)
+				c.busy(w)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				err := w.routers[1].Drain(ctx)
+				require.Equal(t, c.ok, err == nil, "%v", err)
+				_, outcome := w.routers[1].Reserve("a", 1)
+				require.Equal(t, Fenced, outcome)
+			})
+		})
+	}
+}
+
 func TestASealedLendersLoanPaysForNothing(t *testing.T) {
 	w := newWorld(t, 2, testPolicy)
 	w.topUp("x", 1000)
--- a/internal/budget/control.go
+++ b/internal/budget/control.go
@@ -49,6 +49,7 @@
 	now := g.config.Now()
 	g.followDemand(h, budget, now)
 	g.reclaim(h)
+	g.resolve(h)
 	g.revoke(h)
 	situation := g.situation(h, budget)
 	policy := g.policy(h)
--- a/internal/budget/fake_test.go
+++ b/internal/budget/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"sync"
 	"testing"
 	"time"
@@ -30,6 +31,7 @@
 	mute    map[ident.Incarnation]bool // routers that nobody reaches
 	losing  bool                       // replies of routers are lost
 	sealed  map[ident.Incarnation]bool
+	closed  map[ident.Incarnation]bool // as the fleet stream proves
 	routers map[ident.Incarnation]*Grants
 	now     time.Time
 	policy  Policy
@@ -39,7 +41,7 @@
 	w := &world{
 		t: t, state: ledger.New(0, 1), policy: policy, now: time.Unix(1e9, 0),
 		seq: map[ident.Incarnation]uint64{}, mute: map[ident.Incarnation]bool{},
-		sealed: map[ident.Incarnation]bool{}, routers: map[ident.Incarnation]*Grants{},
+		sealed: map[ident.Incarnation]bool{}, closed: map[ident.Incarnation]bool{}, routers: map[ident.Incarnation]*Grants{},
 	}
 	for i := range routers {
 		w.start(ident.Incarnation(i + 1))
@@ -113,6 +115,8 @@
 
 func (w *world) Sealed(i ident.Incarnation) bool { return w.sealed[i] }
 
+func (w *world) Closed(i ident.Incarnation) bool { return w.closed[i] }
+
 func (w *world) Borrow(_ context.Context, to ident.Incarnation, args wire.BorrowArgs) (wire.BorrowReply, error) {
 	if w.mute[to] {
 		return wire.BorrowReply{}, errDown
@@ -151,3 +155,20 @@
 	}
 	return own, borrowed
 }
+
+func testKey(n int) (key ident.Key) {
+	binary.BigEndian.PutUint64(key[:], uint64(n))
+	return key
+}
+
+// settle bills a run that router 2 began, to the grant of router 1 or, for
+// strangers' keys, of writer 7.
+func (w *world) settle(run ident.RunID, key int, tokens int64) {
+	holder := ident.Incarnation(1)
+	if key > 1 {
+		holder = 7
+	}
+	w.do(run.Gate, ledger.KindSettle, ledger.Settle{
+		Team: "a", Holder: holder, Router: 2, Run: run, Key: testKey(key), Tokens: tokens,
+	})
+}
--- a/internal/budget/hand.go
+++ b/internal/budget/hand.go
@@ -35,6 +35,8 @@
 	lent    map[ident.Incarnation]*lent
 	draw    *drawing // in flight
 	giving  bool     // a return is in flight
+	closing bool     // a Close of a borrower is in flight
+	held    []heldRun
 	proof   proof
 	demand  demand
 	seen    ident.Offset // of the fold, when the demand was last followed
@@ -67,6 +69,7 @@
 	hand   *hand
 	source *source
 	tokens int64
+	since  ident.Offset // a position of the fold before it was made
 }
 
 // Holder returns the holder of the grant that pays for the run.
@@ -118,7 +121,7 @@
 	best.used = true
 	low = !h.wanting && h.own.free < h.low
 	h.wanting = h.wanting || low
-	return Reservation{hand: h, source: best, tokens: tokens}, low, true
+	return Reservation{hand: h, source: best, tokens: tokens, since: h.seen}, low, true
 }
 
 // settle ends a reservation.
--- /dev/null
+++ b/internal/budget/held.go
@@ -0,0 +1,58 @@
+package budget
+
+import (
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/ledger"
+)
+
+// heldRun is a reservation for a run of unknown outcome.
+type heldRun struct {
+	reservation Reservation
+	key         ident.Key
+	gate        ident.Incarnation
+}
+
+// used returns what the run has used, once the ledger shows it. A gate that is
+// closed has settled what it ran before; a bill that may have been forgotten
+// counts as the whole bound.
+func (r heldRun) used(s *ledger.State) (tokens int64, known bool) {
+	bill, billed := s.BilledKey(r.key)
+	switch {
+	case billed && bill.Run.Gate == r.gate:
+		return min(bill.Tokens, r.reservation.tokens), true
+	case !s.Closed(r.gate):
+		return 0, false
+	case !billed && r.reservation.since < s.BillHorizon():
+		return r.reservation.tokens, true
+	default:
+		return 0, true
+	}
+}
+
+// resolve settles the held reservations of which the outcome is known now.
+func (g *Grants) resolve(h *hand) {
+	h.mu.Lock()
+	held := h.held
+	h.held = nil
+	h.mu.Unlock()
+	if len(held) == 0 {
+		return
+	}
+	var open []heldRun
+	for _, r := range held {
+		var (
+			tokens int64
+			known  bool
+		)
+		g.config.Ledger.View(h.team, func(s *ledger.State) { tokens, known = r.used(s) })
+		if !known {
+			open = append(open, r)
+			continue
+		}
+		h.settle(r.reservation, tokens)
+		g.counts.Inc("held_resolved")
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.held = append(h.held, open...)
+}
--- a/internal/budget/lend.go
+++ b/internal/budget/lend.go
@@ -126,7 +126,7 @@
 // reclaim takes back what closed borrowers have left. The Close must be read
 // from the same fold as the bills: it stands behind the last settlement of
 // every run that the borrower began, while the fleet stream may be ahead of
-// the ledger here.
+// the ledger here. A lender writes it itself if nobody has.
 func (g *Grants) reclaim(h *hand) {
 	for _, borrower := range h.borrowers() {
 		var (
@@ -140,10 +140,33 @@
 		if closed {
 			h.takeBack(borrower, used)
 			g.counts.Inc("loan_reclaimed")
+			continue
+		}
+		if g.config.Fleet.Closed(borrower) {
+			g.closeBorrower(h, borrower)
 		}
 	}
 }
 
+// closeBorrower writes the Close of a borrower to the team's shard.
+func (g *Grants) closeBorrower(h *hand, borrower ident.Incarnation) {
+	h.mu.Lock()
+	busy := h.closing
+	h.closing = true
+	h.mu.Unlock()
+	if busy {
+		return
+	}
+	g.config.Launch(func() {
+		if _, err := g.submit(h, ledger.KindClose, ledger.Close{Holder: borrower}); err != nil {
+			g.counts.Inc("close_unknown")
+		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.closing = false
+	})
+}
+
 func (h *hand) borrowers() []ident.Incarnation {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/measure/budget/chosen.go
+++ b/internal/measure/budget/chosen.go
@@ -205,6 +205,7 @@
 }
 
 func (p *port) Sealed(ident.Incarnation) bool { return false }
+func (p *port) Closed(ident.Incarnation) bool { return false }
 
 // peer returns another router if it can be reached.
 func (p *port) peer(to ident.Incarnation) (*grants.Grants, error) {
--- a/internal/measure/ledgerbench/ledgerbench.go
+++ b/internal/measure/ledgerbench/ledgerbench.go
@@ -133,6 +133,9 @@
 // Sealed is budget.Fleet.
 func (l *local) Sealed(ident.Incarnation) bool { return false }
 
+// Closed is budget.Fleet.
+func (l *local) Closed(ident.Incarnation) bool { return false }
+
 // Borrow is budget.Peers.
 func (l *local) Borrow(context.Context, ident.Incarnation, wire.BorrowArgs) (wire.BorrowReply, error) {
 	return wire.BorrowReply{}, nil
--- a/internal/measure/schedules/router.go
+++ b/internal/measure/schedules/router.go
@@ -80,6 +80,11 @@
 	return r.view.sealed[i] || r.view.gone[i]
 }
 
+// Closed is budget.Fleet.
+func (r *router) Closed(i ident.Incarnation) bool {
+	return r.view.holderFree(i, RuleProof)
+}
+
 // Borrow is budget.Peers. Requests may arrive late and replies be lost.
 func (r *router) Borrow(_ context.Context, to ident.Incarnation, args wire.BorrowArgs) (wire.BorrowReply, error) {
 	lender := r.m.router(to)
--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -67,6 +67,11 @@
 	return f.members().Sealed(life)
 }
 
+// Closed implements budget.Fleet.
+func (f budgetFleet) Closed(life ident.Incarnation) bool {
+	return f.members().Closed(life)
+}
+
 // policyOf returns the sizing policy that the settings give a team.
 func policyOf(tree func() *settings.Tree) func(ident.TeamID) budget.Policy {
 	return func(team ident.TeamID) budget.Policy {
