--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -420,6 +420,33 @@
 	require.LessOrEqual(t, before-after, before/probeParts+1)
 }
 
+func TestHealthCapsReturns(t *testing.T) {
+	at := func(seconds int) time.Time { return time.Unix(int64(1000+seconds), 0) }
+	for _, c := range []struct {
+		name             string
+		answered, failed int // -1 is never
+		now              int
+		want             int64
+	}{
+		{"never heard of", -1, -1, 0, 10},
+		{"just answered", 0, -1, 1, 1000},
+		{"answered long ago", 0, -1, 60, 10},
+		{"just failed", 0, 1, 2, 0},
+		{"failed long ago", 0, 1, 60, 10},
+		{"failed, then answered", 2, 1, 3, 1000},
+		{"failed, then answered long ago", 2, 1, 20, 10},
+	} {
+		var l health
+		if c.failed >= 0 {
+			l.note(at(c.failed), false)
+		}
+		if c.answered >= 0 {
+			l.note(at(c.answered), true)
+		}
+		require.Equal(t, c.want, l.cap(1000, at(c.now)), c.name)
+	}
+}
+
 func TestBoundCountsOnlyNearTheLimit(t *testing.T) {
 	w := newWorld(t, 1, testPolicy)
 	w.topUp("x", 1_000_000)
