Settlement: a router's copies of the runs that it began

A copy stays until the ledger shows its settlement. Only after the gate is sealed does the router settle it: the reported usage, or after five minutes the bound of a run whose end it has not seen, since the gate may still run it.

--- a/internal/ledger/incarnations.go
+++ b/internal/ledger/incarnations.go
@@ -36,3 +36,10 @@
 	}
 	return sum
 }
+
+// KeyBilled reports whether a run of a key was billed, as far as the shard
+// remembers: BilledKeyWindow keys.
+func (s *State) KeyBilled(key ident.Key) bool {
+	_, known := s.billed.get(key)
+	return known
+}
--- /dev/null
+++ b/internal/settlement/tracker.go
@@ -0,0 +1,422 @@
+// Package settlement keeps a router's copies of the runs that it began. The
+// side process of a run settles it; the router's copy stays until the ledger
+// shows that. Only when the life of the gate is sealed does the router settle
+// the copy itself, before it acknowledges the seal.
+//
+// What is billed from a copy: the usage that the gate reported at the end of
+// the run, or the run's whole bound if the router has not seen its end. The
+// gate may still be running such a run behind a cut and can use up to the
+// bound. If the gate settles it first, its count stands: the ledger bills a
+// run and a key once.
+package settlement
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/camphorlever/camphorlever/internal/counter"
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/ledger"
+	"github.com/camphorlever/camphorlever/internal/record"
+	"github.com/camphorlever/camphorlever/internal/wire"
+)
+
+// Times of the tracker.
+const (
+	// UnfinishedGrace is how long a sealed gate may take to settle a run of
+	// which the router has not seen the end, before it is billed at its
+	// bound.
+	UnfinishedGrace = 5 * time.Minute
+	// gateGrace is how long a gate may take to settle a finished run when the
+	// router stops, before the router settles it.
+	gateGrace     = 3 * time.Second
+	sweepInterval = time.Second
+	submitTimeout = 30 * time.Second
+)
+
+// syntheticRun marks the numbers of settlements of runs whose number the
+// router has not learned. Gates never reach such numbers.
+const syntheticRun = uint64(1) << 63
+
+var counts = counter.NewSet("settlement_copies")
+
+// Copy is the router's own record of a run that it asks a gate to begin.
+type Copy struct {
+	Team    ident.TeamID
+	Account ident.AccountID
+	Holder  ident.Incarnation
+	Gate    ident.Incarnation
+	Key     ident.Key
+	Bound   int64 // tokens
+}
+
+// Ledger is what the tracker needs of the ledger.
+type Ledger interface {
+	// Submit returns verdicts once the records were read back. After an error
+	// they may or may not take effect.
+	Submit(ctx context.Context, team ident.TeamID, records ...record.Record) ([]ledger.Verdict, error)
+	View(team ident.TeamID, visit func(*ledger.State))
+}
+
+// Config holds what a tracker needs. All fields but Resolved are required.
+type Config struct {
+	Ledger Ledger
+	// Self returns the router's incarnation.
+	Self func() ident.Incarnation
+	// Sealed tells of a life that the fleet stream has sealed or ended. Once
+	// true it stays true. It must not wait for the ledger.
+	Sealed func(ident.Incarnation) bool
+	// Resolved is told when a copy is dropped because its run stands settled
+	// in the ledger; it is called under the tracker's lock and may be nil.
+	Resolved func(Copy)
+	Logger   zerolog.Logger
+}
+
+// Tracker keeps the copies of one router. It is safe for concurrent use.
+type Tracker struct {
+	config Config
+	log    zerolog.Logger
+
+	mu        sync.Mutex // guards all below; Track's check of Sealed is made under it
+	copies    map[Copy]*tracked
+	graceEnds map[ident.Incarnation]time.Time // of sealed gates
+	synthetic uint64                          // last number given out
+}
+
+// tracked is what is known of the runs of one copy. Equal copies arise when
+// two requests have the same key.
+type tracked struct {
+	begun    int // begins whose end is not known
+	finished []finishedRun
+}
+
+type finishedRun struct {
+	run    ident.RunID
+	tokens int64
+}
+
+// New returns a tracker without copies.
+func New(config Config) *Tracker {
+	return &Tracker{
+		config:    config,
+		log:       config.Logger.With().Str("part", "settlement").Logger(),
+		copies:    map[Copy]*tracked{},
+		graceEnds: map[ident.Incarnation]time.Time{},
+	}
+}
+
+// Track keeps a copy before its Begin is sent. False means that the gate's
+// life is sealed: nothing may be begun there.
+func (t *Tracker) Track(c Copy) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.config.Sealed(c.Gate) {
+		counts.Inc("gate_sealed")
+		return false
+	}
+	state := t.copies[c]
+	if state == nil {
+		state = &tracked{}
+		t.copies[c] = state
+	}
+	state.begun++
+	counts.Inc("tracked")
+	return true
+}
+
+// NotStarted drops a copy: the gate has not started it and never will.
+func (t *Tracker) NotStarted(c Copy) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state := t.copies[c]
+	if state == nil || state.begun == 0 {
+		return
+	}
+	state.begun--
+	t.prune(c, state)
+	counts.Inc("not_started")
+}
+
+// Finish adds the final usage of the run.
+func (t *Tracker) Finish(c Copy, run ident.RunID, usage wire.Usage) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state := t.copies[c]
+	if state == nil || state.begun == 0 {
+		return // resolved meanwhile
+	}
+	state.begun--
+	state.finished = append(state.finished, finishedRun{run: run, tokens: min(usage.Total(), c.Bound)})
+	counts.Inc("finished")
+}
+
+// Open returns how many copies are not resolved.
+func (t *Tracker) Open() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	open := 0
+	for _, state := range t.copies {
+		open += state.begun + len(state.finished)
+	}
+	return open
+}
+
+func (t *Tracker) prune(c Copy, state *tracked) {
+	if state.begun == 0 && len(state.finished) == 0 {
+		delete(t.copies, c)
+	}
+}
+
+// Run drops the copies whose settlement the ledger shows, until ctx ends.
+func (t *Tracker) Run(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			t.sweep()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sweep drops resolved copies. It never holds the tracker's lock and the
+// ledger's at the same time.
+func (t *Tracker) sweep() {
+	for _, c := range t.list(func(Copy) bool { return true }) {
+		runs := t.finishedRuns(c)
+		settled := map[ident.RunID]bool{}
+		keyBilled := false
+		t.config.Ledger.View(c.Team, func(s *ledger.State) {
+			for _, f := range runs {
+				settled[f.run] = s.Settled(f.run)
+			}
+			keyBilled = s.KeyBilled(c.Key)
+		})
+		t.dropSettled(c, settled, keyBilled)
+	}
+}
+
+func (t *Tracker) finishedRuns(c Copy) []finishedRun {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if state := t.copies[c]; state != nil {
+		return append([]finishedRun(nil), state.finished...)
+	}
+	return nil
+}
+
+// dropSettled drops the runs of a copy that the ledger shows as settled. A
+// begin whose run is not known is resolved once its key is billed and its gate
+// is sealed: a second bill of the key has no effect.
+func (t *Tracker) dropSettled(c Copy, settled map[ident.RunID]bool, keyBilled bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state := t.copies[c]
+	if state == nil {
+		return
+	}
+	kept := state.finished[:0]
+	for _, f := range state.finished {
+		if settled[f.run] {
+			t.resolved(c, "seen_settled")
+			continue
+		}
+		kept = append(kept, f)
+	}
+	state.finished = kept
+	if state.begun > 0 && keyBilled && t.config.Sealed(c.Gate) {
+		state.begun = 0
+		t.resolved(c, "key_seen_billed")
+	}
+	t.prune(c, state)
+}
+
+func (t *Tracker) resolved(c Copy, reason string) {
+	counts.Inc(reason)
+	if t.config.Resolved != nil {
+		t.config.Resolved(c)
+	}
+}
+
+func (t *Tracker) list(chosen func(Copy) bool) []Copy {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var found []Copy
+	for c := range t.copies {
+		if chosen(c) {
+			found = append(found, c)
+		}
+	}
+	return found
+}
+
+// Release implements node.Witness: it returns once every run that the router
+// began at the sealed gate is settled in the ledger, by the gate or from the
+// copy. A log outage only delays it.
+func (t *Tracker) Release(ctx context.Context, sealed ident.Incarnation) error {
+	if !t.config.Sealed(sealed) {
+		return errors.Errorf("life %d is not sealed in the router's view", sealed)
+	}
+	grace := t.graceEnd(sealed)
+	ofGate := func(c Copy) bool { return c.Gate == sealed }
+	for {
+		t.sweep()
+		open := t.list(ofGate)
+		if len(open) == 0 {
+			return nil
+		}
+		for _, c := range open {
+			if err := t.settle(ctx, c, !time.Now().Before(grace)); err != nil {
+				return err
+			}
+		}
+		if err := pause(ctx, sweepInterval); err != nil {
+			return err
+		}
+	}
+}
+
+// graceEnd returns when unfinished runs of a sealed gate are billed at their
+// bound. Taking the lock here also lets every earlier Track be over.
+func (t *Tracker) graceEnd(sealed ident.Incarnation) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	end, known := t.graceEnds[sealed]
+	if !known {
+		end = time.Now().Add(UnfinishedGrace)
+		t.graceEnds[sealed] = end
+	}
+	return end
+}
+
+// Flush returns once no copy is left, for a graceful stop. Runs that their
+// gates do not settle soon are settled here; that is harmless, as the ledger
+// bills a run once.
+func (t *Tracker) Flush(ctx context.Context) error {
+	grace := time.Now().Add(gateGrace)
+	for {
+		t.sweep()
+		open := t.list(func(Copy) bool { return true })
+		if len(open) == 0 {
+			return nil
+		}
+		if time.Now().After(grace) {
+			for _, c := range open {
+				if err := t.settle(ctx, c, false); err != nil {
+					return err
+				}
+			}
+		}
+		if err := pause(ctx, sweepInterval/4); err != nil {
+			return errors.Wrapf(err, "%d copies are not settled", t.Open())
+		}
+	}
+}
+
+// settle bills the finished runs of a copy, and those without a known end at
+// their bound if asked to.
+func (t *Tracker) settle(ctx context.Context, c Copy, unfinished bool) error {
+	runs := t.take(c, unfinished)
+	if len(runs) == 0 {
+		return nil
+	}
+	records := make([]record.Record, 0, len(runs))
+	for _, f := range runs {
+		r, err := record.New(ledger.KindSettle, ledger.Settle{
+			Team:    c.Team,
+			Account: c.Account,
+			Holder:  c.Holder,
+			Run:     f.run,
+			Key:     c.Key,
+			Tokens:  f.tokens,
+			Router:  t.config.Self(),
+		})
+		if err != nil {
+			return err
+		}
+		records = append(records, r)
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	verdicts, err := t.config.Ledger.Submit(ctx, c.Team, records...)
+	if err != nil {
+		counts.Inc("retry")
+		return nil // the copy is kept; the next round settles it again
+	}
+	t.done(c, runs, verdicts)
+	return nil
+}
+
+// take lists the runs to settle. Runs without a known end get a number once,
+// so that a repeated settlement is recognised.
+func (t *Tracker) take(c Copy, unfinished bool) []finishedRun {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state := t.copies[c]
+	if state == nil {
+		return nil
+	}
+	for unfinished && state.begun > 0 {
+		state.begun--
+		t.synthetic++
+		number := syntheticRun | uint64(t.config.Self())<<24 | t.synthetic
+		run := ident.RunID{Gate: c.Gate, Number: number}
+		state.finished = append(state.finished, finishedRun{run: run, tokens: c.Bound})
+		counts.Inc("billed_at_bound")
+	}
+	return append([]finishedRun(nil), state.finished...)
+}
+
+// done drops the runs on which the ledger has decided.
+func (t *Tracker) done(c Copy, runs []finishedRun, verdicts []ledger.Verdict) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state := t.copies[c]
+	if state == nil {
+		return
+	}
+	for i, f := range runs {
+		if !decided(verdicts[i].Outcome) {
+			counts.Inc("retry")
+			continue
+		}
+		for j, kept := range state.finished {
+			if kept == f {
+				state.finished = append(state.finished[:j], state.finished[j+1:]...)
+				t.resolved(c, "settled_here")
+				break
+			}
+		}
+	}
+	t.prune(c, state)
+}
+
+// decided reports whether a verdict on a settlement is final.
+func decided(outcome ledger.Outcome) bool {
+	switch outcome {
+	case ledger.Accepted, ledger.Repeated, ledger.AlreadyBilled:
+		return true
+	case ledger.RefusedClosed, ledger.RefusedInvalid:
+		counts.Inc("refused")
+		return true
+	default:
+		return false
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
