--- a/internal/fleet/state_test.go
+++ b/internal/fleet/state_test.go
@@ -161,15 +161,15 @@
 	old.MaxLevel = 0
 	require.Equal(t, RefusedLevel, f.write(0, KindRegister, old).Outcome)
 	require.Equal(t, RefusedWriter, f.write(9, KindSeal, Seal{Incarnation: 1}).Outcome)
+	f.nonces = 40 // those up to 3 were used
 	side := f.register(RoleSide)
-	f.nonces = 40
 	require.Equal(t, RefusedWriter, f.write(1, KindDeregister, Deregister{side}).Outcome)
 	f.seal(side)
 	require.Equal(t, RefusedInvalid, f.ack(side, side), "only the other role acknowledges")
 	require.Equal(t, Accepted, f.ack(1, side))
 	f.write(1, KindDeregister, Deregister{1})
 	require.Equal(t, Repeated, f.write(0, KindRegister, first).Outcome, "a repeat does not revive a life that is over")
-	for f.s.Offset() < RegistrationWindow+1 {
+	for f.s.Offset() < RegistrationWindow+9 {
 		f.write(0, KindSeal, Seal{})
 	}
 	require.Equal(t, RefusedStale, f.write(0, KindRegister, first).Outcome, "nor does one whose nonce is forgotten")
