RPC client: a deadline also ends a call that cannot be written

net/rpc writes the request in the caller's goroutine; on a connection that takes no more bytes the call hung past its deadline. The deadline now closes the connection from aside. A caller that goes away no longer drops the connection that others use.

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -90,17 +90,28 @@
 		return errors.Wrap(ErrNotSent, err.Error())
 	}
 	conn.touch()
+	// Go blocks while the connection takes no more bytes, so the deadline
+	// closes the connection from aside.
+	stop := context.AfterFunc(ctx, func() { c.expired(ctx, conn) })
+	defer stop()
 	call := conn.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		return c.finish(conn, call.Error)
 	case <-ctx.Done():
-		calls.Inc("deadline")
-		c.drop(conn)
+		c.expired(ctx, conn)
 		return errors.Wrap(ErrNoReply, ctx.Err().Error())
 	}
 }
 
+// expired drops a connection that missed a deadline. A caller that merely went
+// away says nothing about the connection.
+func (c *Client) expired(ctx context.Context, conn *connection) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.drop(conn)
+	}
+}
+
 // finish tells an error of the method from one of the connection.
 func (c *Client) finish(conn *connection, err error) error {
 	var server rpc.ServerError
@@ -108,10 +119,6 @@
 		return err
 	}
 	c.drop(conn)
-	if errors.Is(err, rpc.ErrShutdown) {
-		calls.Inc("not_sent")
-		return errors.Wrap(ErrNoReply, err.Error())
-	}
 	calls.Inc("connection_lost")
 	return errors.Wrap(ErrNoReply, err.Error())
 }
@@ -189,6 +196,7 @@
 	c.mu.Lock()
 	if c.conn == conn {
 		c.conn = nil
+		calls.Inc("dropped")
 	}
 	c.mu.Unlock()
 	conn.close()
