--- a/cmd/camphor-measure/main.go
+++ b/cmd/camphor-measure/main.go
@@ -13,6 +13,7 @@
 	"github.com/camphorlever/camphorlever/internal/measure/capacity"
 	"github.com/camphorlever/camphorlever/internal/measure/placement"
 	"github.com/camphorlever/camphorlever/internal/measure/schedules"
+	"github.com/camphorlever/camphorlever/internal/measure/sidecost"
 )
 
 // groups lists what can be measured, in the order of the report.
@@ -20,6 +21,7 @@
 	[]measure.Group{capacity.Group},
 	[]measure.Group{schedules.Group()},
 	placement.Groups(),
+	[]measure.Group{sidecost.Group},
 )
 
 type flags struct {
