Router: settlement witness, administration interface, grants back at the stop

Copies of begun runs are kept by internal/settlement; a reservation held for a run of unknown outcome ends when the ledger shows the run billed. The stop settles, then drains the budget, then deregisters; if either fails it leaves the life to be sealed. The placement heeds the VM list and servers that do not answer their side processes.

--- a/internal/filter/stream/begin.go
+++ b/internal/filter/stream/begin.go
@@ -250,7 +250,7 @@
 }
 
 func (a *attempt) hold() {
-	a.r.Reservation.Hold()
+	a.Witness.Held(a.copied, a.r.Reservation)
 	a.r.Reservation = nil
 }
 
--- a/internal/filter/stream/stream_test.go
+++ b/internal/filter/stream/stream_test.go
@@ -19,6 +19,7 @@
 
 // world is everything that the filter talks to.
 type world struct {
+	t          *testing.T
 	beginErr   error
 	begin      *fakeStream
 	attachErr  error
@@ -96,7 +97,11 @@
 func (w *world) Offsets() wire.Offsets                { return wire.Offsets{Settings: 1, Fleet: 2} }
 func (w *world) Holder() ident.Incarnation            { return 3 }
 func (w *world) Settle(actual int64)                  { w.settled = append(w.settled, actual) }
-func (w *world) Hold()                                { w.held++ }
+func (w *world) Hold()                                {}
+func (w *world) Held(c Copy, _ filter.Reservation) {
+	w.held++
+	require.Equal(w.t, ident.Incarnation(7), c.Gate)
+}
 
 var usage = wire.Usage{Prompt: 4, Output: 2}
 
@@ -178,6 +183,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			w := c.world
+			w.t = t
 			r, recorder := newRequest(&w)
 			r.Once = c.once
 			out := New(Deps{Relay: &w, Gates: &w, Witness: &w, Self: &w}).Handle(t.Context(), r, nil)
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -1,17 +1,28 @@
 package router
 
 import (
-	"context"
 	"expvar"
 	"net/http"
 
 	"github.com/camphorlever/camphorlever/internal/admin"
+	"github.com/camphorlever/camphorlever/internal/filter"
+	"github.com/camphorlever/camphorlever/internal/fleet"
+	"github.com/camphorlever/camphorlever/internal/rpc"
 )
 
-// adminHandler serves health, readiness, the counters and the administration
-// interface.
+// adminHandler serves the administration interface, health, readiness and the
+// counters.
 func (r *Router) adminHandler() http.Handler {
+	api := admin.New(admin.Config{
+		Fleet:        r.node,
+		Ledger:       r.node.Ledger(),
+		Peers:        adminPeers{router: r},
+		BootstrapKey: r.options.BootstrapOperatorKeyHash,
+		Ready:        r.state.Ready,
+		Logger:       r.log,
+	})
 	routes := http.NewServeMux()
+	routes.Handle(admin.Root+"/", api.Handler())
 	routes.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusOK)
 	})
@@ -23,8 +34,19 @@
 		w.WriteHeader(http.StatusOK)
 	})
 	routes.Handle("GET /debug/vars", expvar.Handler())
-	routes.Handle(admin.Root+"/", r.administration())
 	return routes
 }
 
-func (r *Router) returnGrants(context.Context) error { return nil }
+// adminPeers lets the administration interface call other processes.
+type adminPeers struct {
+	router *Router
+}
+
+// Caller implements admin.Peers.
+func (p adminPeers) Caller(m fleet.Member) rpc.Caller {
+	address := m.Registration.Address
+	if m.Registration.Role == fleet.RoleRouter {
+		return p.router.routers.caller(address)
+	}
+	return p.router.gates.caller(filter.Target{Server: m.Registration.Server, Gate: m.Incarnation, Address: address})
+}
--- a/internal/router/directory.go
+++ b/internal/router/directory.go
@@ -15,6 +15,8 @@
 type membership interface {
 	Settings() *settings.Tree
 	Members() *fleet.View
+	// Leaving also heeds the VM list.
+	Leaving(m fleet.Member) bool
 }
 
 // directory joins the settings of the servers with the lives of their side
@@ -28,6 +30,7 @@
 	mu   sync.Mutex // guards what was last handed on
 	tree *settings.Tree
 	view *fleet.View
+	vms  uint64 // sum of the lives that leave
 }
 
 // refresh brings the placement up to date. It is cheap if nothing changed.
@@ -38,8 +41,30 @@
 	if tree == d.tree && view == d.view {
 		return
 	}
+	d.update(tree, view)
+}
+
+// refreshVMs brings the placement up to date if the VM list has changed.
+func (d *directory) refreshVMs() {
+	tree, view := d.node.Settings(), d.node.Members()
+	leaving := uint64(0)
+	for _, m := range view.Sides {
+		if d.node.Leaving(m) {
+			leaving += uint64(m.Incarnation)
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if leaving != d.vms {
+		d.vms = leaving
+		d.update(tree, view)
+	}
+}
+
+// update needs the lock.
+func (d *directory) update(tree *settings.Tree, view *fleet.View) {
 	d.tree, d.view = tree, view
-	servers := servers(tree, view)
+	servers := d.servers(tree, view)
 	d.picker.Update(servers)
 	peers := make(map[relay.Peer]bool, len(servers))
 	for _, s := range servers {
@@ -51,7 +76,7 @@
 
 // servers lists the backend servers that have a live side process. If a
 // server has two lives that are not sealed, the newer one counts.
-func servers(tree *settings.Tree, view *fleet.View) []*placement.Server {
+func (d *directory) servers(tree *settings.Tree, view *fleet.View) []*placement.Server {
 	newest := map[ident.ServerID]fleet.Member{}
 	for _, m := range view.Sides {
 		if old, ok := newest[m.Registration.Server]; !ok || old.Incarnation < m.Incarnation {
@@ -73,7 +98,7 @@
 			Services: server.Services,
 			Role:     server.Role,
 			Slots:    server.Slots,
-			Leaving:  m.Leaving,
+			Leaving:  d.node.Leaving(m),
 		})
 	}
 	return list
--- a/internal/router/loads.go
+++ b/internal/router/loads.go
@@ -33,6 +33,7 @@
 	defer ticker.Stop()
 	for {
 		l.directory.refresh()
+		l.directory.refreshVMs()
 		l.routers.keep()
 		l.round(ctx)
 		l.kick()
@@ -66,6 +67,11 @@
 		l.picker.Failed(s.Gate)
 		return
 	}
+	if reply.Unreachable {
+		l.polls.Inc("server_unreachable")
+		l.picker.Failed(s.Gate)
+		return
+	}
 	l.polls.Inc("answered")
 	l.picker.Report(s.Gate, report(&reply))
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,11 +16,13 @@
 	"github.com/camphorlever/camphorlever/internal/counter"
 	"github.com/camphorlever/camphorlever/internal/filter"
 	"github.com/camphorlever/camphorlever/internal/fleet"
+	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/logservice"
 	"github.com/camphorlever/camphorlever/internal/node"
 	"github.com/camphorlever/camphorlever/internal/placement"
 	"github.com/camphorlever/camphorlever/internal/relay"
 	"github.com/camphorlever/camphorlever/internal/rpc"
+	"github.com/camphorlever/camphorlever/internal/settlement"
 	"github.com/camphorlever/camphorlever/internal/vmlist"
 	"github.com/camphorlever/camphorlever/internal/wire"
 )
@@ -90,7 +92,13 @@
 		dial:    r.dial(node.ServiceRouter),
 		callers: map[string]rpc.Caller{},
 	}
-	r.witness = newWitness(r)
+	r.witness = newWitness(settlement.Config{
+		Ledger: r.node.Ledger(),
+		Self:   r.node.Incarnation,
+		Sealed: func(life ident.Incarnation) bool { return r.node.Members().Sealed(life) },
+		Logger: logger,
+	})
+	r.node.AddWitness(r.witness.tracker)
 	return r
 }
 
@@ -152,6 +160,7 @@
 	loads := &loads{directory: dir, picker: picker, gates: r.gates, routers: r.routers, kick: joined.queue.Kick, polls: counter.NewSet("load_polls")}
 	r.work.Go(func() { grants.Run(ctx) })
 	r.work.Go(func() { loads.run(ctx) })
+	r.work.Go(func() { r.witness.tracker.Run(ctx) })
 	r.work.Go(func() { r.fence(ctx) })
 	r.state.started.Store(true)
 }
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -52,13 +52,15 @@
 func (r *Router) leaveFleet() error {
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
-	if err := r.witness.flush(ctx); err != nil {
+	if err := r.witness.tracker.Flush(ctx); err != nil {
 		r.node.Abandon()
 		return errors.Wrap(err, "settle")
 	}
-	if err := r.returnGrants(ctx); err != nil {
-		r.node.Abandon()
-		return errors.Wrap(err, "return grants")
+	if grants := r.grants.Load(); grants != nil {
+		if err := grants.Drain(ctx); err != nil {
+			r.node.Abandon()
+			return errors.Wrap(err, "return grants")
+		}
 	}
 	return r.node.Stop(ctx)
 }
