End-to-end tests with the real programs as processes

A router killed with streams open (and with the log down as well), the log down while serving, a side process and a router paused past their time-outs, a worker leaving under load, orders counted by the desk itself, a graceful stop of everything.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -25,12 +25,13 @@
 type Report struct {
 	Runs  []Run
 	Teams map[ident.TeamID]ledger.Budget
+	Open  map[ident.TeamID][]ledger.Grant // with tokens left
 }
 
 // Read folds all shards from their beginning to their present end. It fails if
 // the beginning is no longer retained.
 func Read(ctx context.Context, log logservice.Log, shards int) (Report, error) {
-	report := Report{Teams: map[ident.TeamID]ledger.Budget{}}
+	report := Report{Teams: map[ident.TeamID]ledger.Budget{}, Open: map[ident.TeamID][]ledger.Grant{}}
 	for shard := range shards {
 		if err := report.shard(ctx, log, shard, shards); err != nil {
 			return report, errors.WithMessagef(err, "ledger shard %d", shard)
@@ -84,7 +85,14 @@
 			from = entry.Offset + 1
 		}
 	}
-	state.EachTeam(func(team ident.TeamID, budget ledger.Budget) { r.Teams[team] = budget })
+	state.EachTeam(func(team ident.TeamID, budget ledger.Budget) {
+		r.Teams[team] = budget
+		for _, grant := range state.Grants(team) {
+			if grant.Outstanding() > 0 {
+				r.Open[team] = append(r.Open[team], grant)
+			}
+		}
+	})
 	return nil
 }
 
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -25,6 +26,7 @@
 	weights *rate.Limiter
 	load    time.Duration // how long one weight load takes
 	silence *silence
+	vmReads atomic.Int64
 }
 
 // Options sizes the stand-in.
@@ -57,6 +59,7 @@
 	router.POST("/weights/:model", p.silence.guard(p.loadWeights))
 	router.POST("/faults", p.setFaults)
 	router.GET("/stats", p.stats)
+	router.GET("/stats/vms", p.vmStats)
 	return router
 }
 
--- a/internal/standin/platform/vms.go
+++ b/internal/standin/platform/vms.go
@@ -10,7 +10,17 @@
 	"github.com/camphorlever/camphorlever/internal/vmlist"
 )
 
+// VMStats counts the reads of the VM list.
+type VMStats struct {
+	Reads int64 `json:"reads"`
+}
+
+func (p *Platform) vmStats(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	reply(w, VMStats{Reads: p.vmReads.Load()})
+}
+
 func (p *Platform) listVMs(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	p.vmReads.Add(1)
 	snapshot, err := p.VMs.VMs(r.Context())
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -95,14 +95,20 @@
 	for i := range 6 {
 		key := fmt.Sprintf("outage-%d", i)
 		keys = append(keys, key)
+		began := time.Now()
 		require.Empty(t, f.chat(i%2, key, key, i%3 == 0))
+		f.step(began, "request in the outage")
 	}
+	began := time.Now()
 	refused := f.order(0, "order-in-outage")
+	f.step(began, "order")
 	require.NotNil(t, refused.Refusal, "%d %s", refused.Status, refused.Body)
 	require.Equal(t, "not_run", refused.Refusal.Ran)
 	require.NotContains(t, f.runs(f.desks[0]), ident.HashKey(team, "order-in-outage").String())
 	f.faults(f.platform, `{"log":"up"}`)
+	began = time.Now()
 	f.audited(keys...)
+	f.step(began, "settlement after the outage")
 	f.await(func() bool { return f.order(1, "order-in-outage").Status == http.StatusOK })
 	f.audited("order-in-outage")
 }
@@ -120,40 +126,25 @@
 
 func TestRouterIsPausedSealedAndWakes(t *testing.T) {
 	f := newFleet(t, 1, time.Millisecond)
+	f.listRead()
+	paused := f.incarnation(f.routers[0].vm)
 	f.routers[0].signal(syscall.SIGSTOP)
 	require.Equal(t, http.StatusNoContent, f.call(http.MethodDelete, f.platform+"/vms/"+string(f.routers[0].vm), nil))
 	require.Empty(t, f.chat(1, "meanwhile", "meanwhile", true))
-	next := f.length("fleet")
-	f.await(func() bool { return f.length("fleet") > next })
+	f.await(func() bool { return f.members().Sealed(paused) })
 	f.routers[0].signal(syscall.SIGCONT)
 	// The sealed router stops by itself; until then it answers truthfully.
 	var keys []string
-	for i := 0; ; i++ {
-		key := fmt.Sprintf("awake-%d", i)
-		problem := f.chat(0, key, key, true)
-		if problem == "" {
+	f.await(func() bool {
+		key := fmt.Sprintf("awake-%d", len(keys))
+		if f.chat(0, key, key, true) == "" {
 			keys = append(keys, key)
 		}
-		select {
-		case <-f.routers[0].over:
-		default:
-			if i < 1000 {
-				continue
-			}
-			t.Fatal("the sealed router goes on")
-		}
-		break
-	}
+		return f.routers[0].ended()
+	})
 	f.audited(append(keys, "meanwhile")...)
 }
 
-// length returns the next offset of a stream.
-func (f *fleet) length(stream string) ident.Offset {
-	page, err := f.log.Read(f.ctx, readAll(stream))
-	require.NoError(f.t, err)
-	return page.Next
-}
-
 func TestWorkerLeavesUnderLoad(t *testing.T) {
 	f := newFleet(t, 2, 2*time.Millisecond)
 	stop := make(chan struct{})
@@ -251,5 +242,5 @@
 	f.models[0].stop()
 	f.desks[0].stop()
 	report := f.report()
-	require.Zero(t, report.Held(), "tokens are held after all have stopped")
+	require.Zero(t, report.Held(), "tokens are held after all have stopped: %+v", report.Open)
 }
--- a/test/e2e/fleet_test.go
+++ b/test/e2e/fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/camphorlever/camphorlever/internal/audit"
+	fleetlog "github.com/camphorlever/camphorlever/internal/fleet"
 	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/ledger"
 	"github.com/camphorlever/camphorlever/internal/load"
@@ -23,6 +24,7 @@
 	"github.com/camphorlever/camphorlever/internal/settings"
 	"github.com/camphorlever/camphorlever/internal/side"
 	"github.com/camphorlever/camphorlever/internal/standin/engine"
+	"github.com/camphorlever/camphorlever/internal/standin/platform"
 )
 
 const (
@@ -56,12 +58,21 @@
 	routers  []*node
 	models   []*node
 	desks    []*node
+	changes  uint64 // settings changes so far
 }
 
+// fleetsAtOnce bounds the fleets that run at the same time.
+const fleetsAtOnce = 4
+
+var fleets = make(chan struct{}, fleetsAtOnce)
+
 // newFleet starts a platform, two routers, some model workers and one order
 // desk, and returns once every router serves both.
 func newFleet(t *testing.T, models int, tokenTime time.Duration) *fleet {
 	t.Helper()
+	t.Parallel()
+	fleets <- struct{}{}
+	t.Cleanup(func() { <-fleets })
 	ctx, cancel := context.WithTimeout(t.Context(), 3*patience)
 	t.Cleanup(cancel)
 	address := freePort(t)
@@ -101,6 +112,7 @@
 			return
 		}
 	}
+	f.counters()
 	f.t.Fatal("does not succeed: " + problem)
 }
 
@@ -153,15 +165,13 @@
 	f.append(ledger.StreamOf(ledger.ShardOf(team, shards)), rec, 1)
 }
 
-var changes uint64 // makes the identities of settings changes
-
 func (f *fleet) change(path settings.Path, value any) {
 	raw, err := json.Marshal(value)
 	require.NoError(f.t, err)
 	rec, err := record.New(settings.KindChange, settings.Change{ID: string(path), Path: path, Base: ident.NoOffset, Author: settings.Bootstrap, Value: raw})
 	require.NoError(f.t, err)
-	changes++
-	f.append(settings.Stream, rec, changes)
+	f.changes++
+	f.append(settings.Stream, rec, f.changes)
 }
 
 func (f *fleet) append(stream logservice.Stream, rec record.Record, sequence uint64) {
@@ -286,3 +296,65 @@
 func readAll(stream string) logservice.ReadRequest {
 	return logservice.ReadRequest{Stream: logservice.Stream(stream)}
 }
+
+// counters logs the counters of the routers.
+func (f *fleet) counters() {
+	for _, r := range f.routers {
+		response, err := http.Get(r.admin + "/debug/vars")
+		if err != nil {
+			continue
+		}
+		var vars map[string]json.RawMessage
+		if json.NewDecoder(response.Body).Decode(&vars) == nil {
+			delete(vars, "memstats")
+			delete(vars, "cmdline")
+			f.t.Logf("counters of %s: %s", r.name, vars)
+		}
+		_ = response.Body.Close()
+	}
+}
+
+// members folds the fleet stream.
+func (f *fleet) members() *fleetlog.View {
+	page, err := f.log.Read(f.ctx, readAll("fleet"))
+	require.NoError(f.t, err)
+	state := fleetlog.New()
+	for _, entry := range page.Entries {
+		state.Apply(entry.Offset, entry.Data)
+	}
+	return state.View()
+}
+
+// incarnation returns the live router of a VM.
+func (f *fleet) incarnation(vm ident.VMID) ident.Incarnation {
+	for _, member := range f.members().Routers {
+		if member.Registration.VM == vm {
+			return member.Incarnation
+		}
+	}
+	f.t.Fatalf("no router on %s", vm)
+	return 0
+}
+
+// vmReads is how many reads of the VM list make sure that each process has
+// made one: processes read it at most once a second and at least every three.
+const vmReads = 20
+
+// listRead waits until every process has read the VM list anew.
+func (f *fleet) listRead() {
+	reads := func() int64 {
+		response, err := http.Get(f.platform + "/stats/vms")
+		require.NoError(f.t, err)
+		defer response.Body.Close()
+		var stats platform.VMStats
+		require.NoError(f.t, json.NewDecoder(response.Body).Decode(&stats))
+		return stats.Reads
+	}
+	enough := reads() + vmReads
+	f.await(func() bool { return reads() >= enough })
+}
+
+// step logs how long a part of a test took.
+func (f *fleet) step(began time.Time, what string) {
+	f.t.Logf("%s took %v", what, time.Since(began).Round(time.Millisecond))
+}
--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -119,6 +119,16 @@
 	}
 }
 
+// ended reports whether the process has ended.
+func (p *process) ended() bool {
+	select {
+	case <-p.over:
+		return true
+	default:
+		return false
+	}
+}
+
 // stop ends the process gracefully and checks its exit status.
 func (p *process) stop() {
 	p.t.Helper()
