Demo: committee rights, status, port blocks under a lock

Two demos at once had taken each other's ports between the two fleets of one; each now holds a lock on its block.

--- a/internal/load/script.go
+++ b/internal/load/script.go
@@ -36,6 +36,7 @@
 	script  Script
 	callers []*Caller
 	ctx     context.Context
+	quiet   bool       // requests that went well print nothing
 	mu      sync.Mutex // guards out and summary
 	out     io.Writer
 	summary Summary
@@ -183,19 +184,26 @@
 	}
 }
 
-// burst sends requests at once, all with answers of their own.
+// burst sends requests at once, all with answers of their own, and prints one
+// line for them.
 func (r *runner) burst() {
+	before := r.summary.Ran
+	r.quiet = true
 	workers := pool.New().WithMaxGoroutines(max(1, min(r.script.Burst, 16)))
 	for i := range r.script.Burst {
 		workers.Go(func() { r.chat(i, fmt.Sprintf("Question %d of many", i), i%3 != 0, false) })
 	}
 	workers.Wait()
+	fmt.Fprintf(r.out, "  %-18s %d of %d answers whole and their own\n", "at once", r.summary.Ran-before, r.script.Burst)
 }
 
 func (r *runner) ran(kind, text string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.summary.Ran++
+	if r.quiet {
+		return
+	}
 	fmt.Fprintf(r.out, "  %-18s %s\n", kind, text)
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -37,6 +37,11 @@
 	od -An -N24 -tx1 /dev/urandom | tr -d ' \n'
 }
 
+# hash_of KEY: the hash of a key as settings hold it.
+hash_of() {
+	printf %s "$1" | sha256sum | cut -d' ' -f1
+}
+
 # ctl ARGS...: camphorctl at the routers of the present fleet.
 ctl() {
 	CAMPHOR_ADMIN=$ADMIN CAMPHOR_KEY=$OPERATOR_KEY "$BIN/camphorctl" "$@"
@@ -58,7 +63,7 @@
 	CHECKS_FENCES=$3
 	FLEET_KEY=$(secret)
 	OPERATOR_KEY=$(secret)
-	OPERATOR_HASH=$(printf %s "$OPERATOR_KEY" | sha256sum | cut -d' ' -f1)
+	OPERATOR_HASH=$(hash_of "$OPERATOR_KEY")
 	ROUTERS=$(router_urls 0)
 	ADMIN=$(router_urls 2)
 	SECRETS=
@@ -83,6 +88,7 @@
 	for ((i = 0; i < 3; i++)); do
 		await "http://127.0.0.1:$((BASE + 10 + 10 * i + 2))/readyz"
 	done
+	alive
 }
 
 # configure TEAMS ACCOUNTS...: applies the sample, tops the teams up and makes
@@ -103,6 +109,30 @@
 	done
 }
 
+# committee TEAM OTHER: the operator becomes the steward, and a committee
+# member may change one team's subtree only.
+committee() {
+	local member_key member_hash answer
+	member_key=$(secret)
+	member_hash=$(hash_of "$member_key")
+	ctl settings set operators/steward - >/dev/null <<-JSON
+		{"name": "Steward", "key_hashes": ["$OPERATOR_HASH"], "subtrees": ["*"], "top_ups": ["*"]}
+	JSON
+	ctl settings set "operators/committee-$1" - >/dev/null <<-JSON
+		{"name": "Committee of $1", "key_hashes": ["$member_hash"], "subtrees": ["teams/$1"], "top_ups": []}
+	JSON
+	echo "$NAME: the committee of $1 changes the team's weight, as a dry run"
+	ctl --output json settings get "teams/$1" | sed -n '/"value": {/,$p' | sed '1s/.*/{/; $d' |
+		sed 's/"weight": [0-9]*/"weight": 4/' >"$WORK/$NAME-change.json"
+	OPERATOR_KEY=$member_key ctl settings diff "teams/$1" "$WORK/$NAME-change.json" | sed 's/^/  /'
+	if answer=$(OPERATOR_KEY=$member_key ctl settings set "teams/$2" "$WORK/$NAME-change.json" 2>&1); then
+		echo "demo: the committee of $1 could change teams/$2" >&2
+		return 1
+	fi
+	echo "$NAME: and may not change teams/$2"
+	echo "  $answer"
+}
+
 # send MODELS SERVICE: sends the sample's requests.
 send() {
 	local summary=$WORK/$NAME-summary.json
@@ -115,6 +145,8 @@
 
 # show TEAM: what an operator sees.
 show() {
+	echo "$NAME: status"
+	ctl status | sed 's/^/  /'
 	echo "$NAME: ledger of $1"
 	ctl ledger "$1" | sed 's/^/  /' | head -n 12
 }
@@ -149,6 +181,7 @@
 		waco-desk-1:waco-vm-desk-1:waco:: \
 		temple-desk-1:temple-vm-desk-1:temple::
 	configure plot-maps/reading-room genealogists/visitors
+	committee county-sextons plot-maps
 	[[ $MODE == up ]] || send plot-answers,plot-reader order-desk
 	MODEL=plot-answers SERVICE=order-desk
 }
@@ -161,7 +194,8 @@
 		santa-marta-modelo-1:santa-marta-vm-1:santa-marta:inspeccion+quimica:boyas-caribe+boyas-pacifico \
 		cartagena-registros-1:cartagena-vm-registros-1:cartagena:: \
 		barranquilla-registros-1:barranquilla-vm-registros-1:barranquilla::
-	configure pilotos/tumaco talleres/cartagena autoridades/caribe
+	configure pilotos/tumaco talleres/barranquilla autoridades/caribe
+	committee talleres pilotos
 	[[ $MODE == up ]] || send inspeccion,quimica registros
 	MODEL=inspeccion SERVICE=registros
 }
@@ -213,7 +247,6 @@
 }
 
 main() {
-	local base
 	if [[ $MODE == down ]]; then
 		down
 		return
@@ -228,13 +261,13 @@
 	fi
 	rm -rf "$WORK"
 	mkdir -p "$WORK"
-	base=$(pick_ports $((2 * FLEET_PORTS)))
+	pick_ports $((2 * FLEET_PORTS))
 	trap cleanup EXIT
 	trap 'exit 130' INT
 	trap 'exit 143' TERM
-	hollister_vance "$base"
+	hollister_vance "$BASE_PORT"
 	if [[ $MODE == up ]]; then hints; else show plot-maps && finish; fi
-	asociacion "$((base + FLEET_PORTS))"
+	asociacion "$((BASE_PORT + FLEET_PORTS))"
 	if [[ $MODE == up ]]; then
 		hints
 		trap - EXIT
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -15,21 +15,23 @@
 	! (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null
 }
 
-# pick_ports COUNT: prints the first port of a block of free ones.
+# pick_ports COUNT: sets BASE_PORT to the first port of a block of free ones,
+# and holds a lock on the block for as long as this script or one of the
+# processes that it starts lives: another demo takes another block.
 pick_ports() {
-	local base port free
+	local base port free lock
 	for ((base = FIRST_PORT; base + $1 <= LAST_PORT; base += $1)); do
+		exec {lock}>"${TMPDIR:-/tmp}/camphor-demo-$base.lock"
 		free=1
-		for ((port = base; port < base + $1; port++)); do
-			if ! port_free "$port"; then
-				free=0
-				break
-			fi
+		flock --nonblock "$lock" || free=0
+		for ((port = base; free && port < base + $1; port++)); do
+			port_free "$port" || free=0
 		done
 		if ((free)); then
-			echo "$base"
+			BASE_PORT=$base
 			return
 		fi
+		exec {lock}>&-
 	done
 	echo "demo: no $1 free ports in a row between $FIRST_PORT and $LAST_PORT" >&2
 	return 1
@@ -53,6 +55,18 @@
 	}
 }
 
+# alive: fails, and names the process, if one that was started has ended.
+alive() {
+	local i
+	for i in "${!PIDS[@]}"; do
+		if ! kill -0 "${PIDS[i]}" 2>/dev/null; then
+			echo "demo: ${NAMES[i]} has ended:" >&2
+			tail -n 3 "$WORK/${NAMES[i]}.log" >&2
+			return 1
+		fi
+	done
+}
+
 # stop PATTERN: ends the running processes whose names match, all at once, and
 # waits for them. Counts those that were not graceful in UNCLEAN.
 stop() {
