--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,12 @@
 
 GO ?= go
 BIN := bin
+VERSION := $(shell git describe --always --dirty 2>/dev/null || echo dev)
 
 .PHONY: build test lint fmt vet staticcheck bench measure demo demo-up demo-down
 
 build:
-	$(GO) build -o $(BIN)/ ./cmd/...
+	$(GO) build -ldflags '-X main.version=$(VERSION)' -o $(BIN)/ ./cmd/...
 
 test:
 	GO=$(GO) scripts/test.sh
