Admission counts a prompt exactly before it waits, not after

Cause: in a log outage every request took 10 s and then ran. The loose bound of the prompt did not fit what was in hand, the budget waited its 10 s for runs in progress to give back, and only then was the prompt counted, whose exact bound fitted at once (counters: refused_budget_unreachable 2 while both answered 200). Ruled out: the look-up of idempotency keys, and the log's own timeouts (requests without keys that fitted took 48 ms). Conclusion: Try the loose bound, count, then Acquire with the smaller bound. TestOnlyTheSmallestBoundIsWaitedFor fails with Acquire in place of Try.

--- a/internal/filter/admit/handler.go
+++ b/internal/filter/admit/handler.go
@@ -30,19 +30,28 @@
 	return next(ctx, r)
 }
 
-// acquire tries the bound, and the exact count if the bound is refused.
+// acquire tries the bound, and if the budget does not cover it, the exact
+// count. Only the smallest bound is worth waiting for.
 func (h *handler) acquire(ctx context.Context, r *filter.Request) (filter.Reservation, *refusal.Refusal) {
-	reservation, refused := h.budget.Acquire(ctx, r.Caller.Team, r.Bound())
-	if refused == nil || r.Route.Service != "" || refused.Ran != refusal.NotRun {
+	reservation, refused := h.budget.Try(ctx, r.Caller.Team, r.Bound())
+	if refused == nil || refused.Ran != refusal.NotRun {
 		return reservation, refused
 	}
+	h.tighten(ctx, r)
+	return h.budget.Acquire(ctx, r.Caller.Team, r.Bound())
+}
+
+// tighten replaces the bound of a prompt by its exact count, if it can be had.
+func (h *handler) tighten(ctx context.Context, r *filter.Request) {
+	if r.Route.Service != "" {
+		return
+	}
 	exact, ok := h.tokenizer.Count(ctx, r)
 	if !ok || exact >= r.PromptBound {
-		return nil, refused
+		return
 	}
 	h.counters.Inc("counted")
 	r.PromptBound = exact
-	return h.budget.Acquire(ctx, r.Caller.Team, r.Bound())
 }
 
 // release runs when the rest of the chain is over, also after a panic. A
--- a/internal/filter/admit/setup.go
+++ b/internal/filter/admit/setup.go
@@ -11,7 +11,10 @@
 
 // Budget hands out reservations of grants.
 type Budget interface {
-	// Acquire reserves tokens of the team, drawing or borrowing if needed.
+	// Try reserves tokens of the team, drawing or borrowing if needed.
+	Try(ctx context.Context, team ident.TeamID, tokens int64) (filter.Reservation, *refusal.Refusal)
+	// Acquire is Try, and then waits a while for runs in progress to give
+	// back what they do not use.
 	Acquire(ctx context.Context, team ident.TeamID, tokens int64) (filter.Reservation, *refusal.Refusal)
 }
 
--- /dev/null
+++ b/internal/router/try.go
@@ -0,0 +1,21 @@
+package router
+
+import (
+	"context"
+
+	"github.com/camphorlever/camphorlever/internal/filter"
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/refusal"
+)
+
+// Try implements admit.Budget. A call that costs nothing needs no grant.
+func (a *admission) Try(ctx context.Context, team ident.TeamID, tokens int64) (filter.Reservation, *refusal.Refusal) {
+	if tokens == 0 {
+		return freeOfCharge{holder: a.self}, nil
+	}
+	r, refused := a.grants.Try(ctx, team, tokens)
+	if refused != nil {
+		return nil, refused
+	}
+	return &reservation{grants: a.grants, Reservation: r}, nil
+}
