Node: reclaim, outages and races proved; Start returns once the ledger is loaded

Mutations seen failing: grants closed as soon as their holder is sealed; a seal acknowledged before the witnesses agree; ready before registered; an unreadable VM list taken for an empty one; no states from peers during an outage; no checkpoints of the settings (all processes lost at once); a fencing list ignored; a repeated registration taken for a second life; no compare of versions. An older state taken from a peer shows only in the stream's own test, as a node publishes nothing older either.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,6 +59,9 @@
 	Release(ctx context.Context, sealed ident.Incarnation) error
 }
 
+// loadedInterval is how often Start looks whether the ledger is loaded.
+const loadedInterval = 20 * time.Millisecond
+
 // Errors of Ready and Start.
 var (
 	// ErrNotRegistered means that the process has not read its registration
@@ -156,7 +159,7 @@
 }
 
 // Start follows the streams, registers the process and returns once the
-// registration was read back. When ctx ends first it returns ErrNotRegistered,
+// registration was read back and the ledger is loaded. When ctx ends first it returns ErrNotRegistered,
 // and goes on trying until Stop.
 func (n *Node) Start(ctx context.Context) error {
 	n.start.Do(n.run)
@@ -193,6 +196,8 @@
 		if n.options.Role == fleet.RoleRouter {
 			n.work.Go(func() { newCloser(n).run(ctx) })
 		}
+		for n.ledger.ready() != nil && pauseFor(ctx, loadedInterval, nil) {
+		}
 	}
 	close(n.startedAt)
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,143 +1,22 @@
 package node
 
 import (
-	"context"
-	"errors"
 	"fmt"
-	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 
 	"github.com/camphorlever/camphorlever/internal/fleet"
 	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/ledger"
 	"github.com/camphorlever/camphorlever/internal/memlog"
 	"github.com/camphorlever/camphorlever/internal/record"
-	"github.com/camphorlever/camphorlever/internal/rpc"
 	"github.com/camphorlever/camphorlever/internal/settings"
-	"github.com/camphorlever/camphorlever/internal/vmlist"
 	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
-// world is a log, a VM list and the nodes on them, in one bubble of fake time.
-type world struct {
-	t     *testing.T
-	log   *memlog.Log
-	vms   *vmlist.Memory
-	mu    sync.Mutex // guards nodes
-	nodes map[string]*Node
-	ended map[*Node]bool
-}
-
-// inWorld runs a test in a bubble and stops the nodes that are left.
-func inWorld(t *testing.T, test func(t *testing.T, w *world)) {
-	synctest.Test(t, func(t *testing.T) {
-		w := &world{t: t, log: memlog.New(), vms: vmlist.NewMemory(), nodes: map[string]*Node{}, ended: map[*Node]bool{}}
-		defer w.stop()
-		test(t, w)
-	})
-}
-
-func (w *world) stop() {
-	for _, n := range w.nodes {
-		if !w.ended[n] {
-			n.Abandon()
-		}
-	}
-}
-
-// add makes a node on a VM of its own.
-func (w *world) add(role fleet.Role, name string, witnesses ...Witness) *Node {
-	vm := ident.VMID("vm-" + name)
-	w.vms.Put(vmlist.VM{ID: vm, DataCentre: "dc", State: vmlist.Live})
-	n := New(Options{
-		Role:         role,
-		VM:           vm,
-		DataCentre:   "dc",
-		Address:      name,
-		Server:       ident.ServerID(name),
-		LedgerShards: 2,
-		Peers:        []string{"r1", "r2"},
-		Dial:         func(address, _ string) rpc.Caller { return caller{w: w, address: address} },
-	}, w.log, w.vms, zerolog.Nop())
-	for _, witness := range witnesses {
-		n.AddWitness(witness)
-	}
-	w.mu.Lock()
-	w.nodes[name] = n
-	w.mu.Unlock()
-	return n
-}
-
-func (w *world) start(role fleet.Role, name string, witnesses ...Witness) *Node {
-	n := w.add(role, name, witnesses...)
-	require.NoError(w.t, n.Start(within(w.t, 30*time.Second)))
-	return n
-}
-
-// kill ends a node as a crash does, and takes its VM off the list.
-func (w *world) kill(n *Node) {
-	w.crash(n)
-	w.vms.Delete(n.options.VM)
-}
-
-func (w *world) crash(n *Node) {
-	n.Abandon()
-	w.ended[n] = true
-}
-
-func within(t *testing.T, d time.Duration) context.Context {
-	ctx, cancel := context.WithTimeout(context.Background(), d)
-	t.Cleanup(cancel)
-	return ctx
-}
-
-// caller calls a node's service in memory.
-type caller struct {
-	w       *world
-	address string
-}
-
-func (c caller) Call(_ context.Context, method string, args, reply any) error {
-	c.w.mu.Lock()
-	n := c.w.nodes[c.address]
-	c.w.mu.Unlock()
-	if n == nil {
-		return rpc.ErrNotSent
-	}
-	switch args := args.(type) {
-	case *wire.StateArgs:
-		return n.Service().State(args, reply.(*wire.StateReply))
-	case *wire.PingArgs:
-		return n.Service().Ping(args, reply.(*wire.PingReply))
-	}
-	return errors.New(method)
-}
-
-func (caller) Close() error { return nil }
-
-func changeRecord(t *testing.T, id string, path settings.Path, base ident.Offset, author ident.OperatorID, value string) record.Record {
-	r, err := record.New(settings.KindChange, settings.Change{ID: id, Path: path, Base: base, Author: author, Value: []byte(value)})
-	require.NoError(t, err)
-	return r
-}
-
-// eventually waits for a condition in fake time.
-func eventually(t *testing.T, limit time.Duration, holds func() bool, what string) {
-	t.Helper()
-	for waited := time.Duration(0); waited < limit; waited += 100 * time.Millisecond {
-		if holds() {
-			return
-		}
-		time.Sleep(100 * time.Millisecond)
-		synctest.Wait()
-	}
-	t.Fatalf("not within %v: %s", limit, what)
-}
-
 func TestNodesRegisterAndShareSettings(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		r1 := w.start(fleet.RoleRouter, "r1")
@@ -158,31 +37,149 @@
 	})
 }
 
-// releases is a witness that agrees once it is told to.
-type releases chan struct{}
-
-func (r releases) Release(ctx context.Context, _ ident.Incarnation) error {
-	select {
-	case <-r:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+// A new side process knows every seal before it may run anything, however the
+// log behaves meanwhile.
+func TestANewSideKnowsAllSealsBeforeItIsReady(t *testing.T) {
+	faults := map[string]func(*memlog.Log){
+		"none":       func(*memlog.Log) {},
+		"reply lost": func(l *memlog.Log) { l.LoseReplies(3) },
+		"repeated":   func(l *memlog.Log) { l.DuplicateNext(2) },
+		"slow":       func(l *memlog.Log) { l.Slow(8 * time.Second) },
+		"down":       func(l *memlog.Log) { l.Down(true); time.AfterFunc(time.Hour, func() { l.Down(false) }) },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, func(t *testing.T, w *world) {
+				r1, r2 := w.start(fleet.RoleRouter, "r1"), w.start(fleet.RoleRouter, "r2")
+				s0 := w.start(fleet.RoleSide, "s0", make(releases))
+				seal, err := record.New(fleet.KindSeal, fleet.Seal{Incarnation: r2.Incarnation()})
+				require.NoError(t, err)
+				_, err = r1.SubmitFleet(within(t, time.Minute), seal)
+				require.NoError(t, err)
+				fault(w.log)
+				s1 := w.add(fleet.RoleSide, "s1")
+				for s1.Start(within(t, 10*time.Second)) != nil {
+					require.Error(t, s1.Ready())
+				}
+				w.log.Slow(0)
+				eventually(t, time.Minute, func() bool { return s1.Ready() == nil }, "ready")
+				require.True(t, s1.Members().Sealed(r2.Incarnation()))
+				require.Len(t, s1.Members().Sides, 2, "one life, however often its registration was written")
+				require.True(t, s1.Members().Live(s0.Incarnation()))
+			})
+		})
 	}
 }
 
-func TestGoneVMIsSealedAndClosedOnlyAfterAcknowledgements(t *testing.T) {
+// During an outage a router starts with the settings of a peer, is not ready
+// while unregistered, and registers once the log is back.
+func TestStartDuringAnOutage(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
-		agree := make(releases)
 		r1 := w.start(fleet.RoleRouter, "r1")
+		_, err := r1.SubmitSettings(within(t, time.Minute), changeRecord(t, "1", "models/m", -1, settings.Bootstrap, `{"version":"1"}`))
+		require.NoError(t, err)
+		w.log.Down(true)
+		r2 := w.add(fleet.RoleRouter, "r2")
+		require.ErrorIs(t, r2.Start(within(t, 20*time.Second)), ErrNotRegistered)
+		require.ErrorIs(t, r2.Ready(), ErrNotRegistered)
+		require.Zero(t, r2.Incarnation())
+		require.Equal(t, "1", r2.Settings().Models["m"].Version)
+		require.Equal(t, r1.Offsets(), r2.Offsets())
+		require.NoError(t, r1.Ready(), "who was ready stays so")
+		w.log.Down(false)
+		require.NoError(t, r2.Start(within(t, time.Minute)))
+		eventually(t, time.Minute, func() bool { return r2.Ready() == nil }, "ready")
+	})
+}
+
+// Whoever learns of a newer offset catches up with it; nobody goes back, also
+// when a peer offers an older state.
+func TestOffsetsNeverGoBack(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		r1, r2 := w.start(fleet.RoleRouter, "r1"), w.start(fleet.RoleRouter, "r2")
+		base := ident.NoOffset
+		seen := r2.Offsets()
+		for i := range 30 {
+			if i%7 == 3 {
+				w.log.LoseReplies(2)
+			}
+			if i%11 == 5 {
+				w.log.Down(true)
+				time.AfterFunc(20*time.Second, func() { w.log.Down(false) })
+			}
+			verdicts, err := r1.SubmitSettings(within(t, time.Hour), changeRecord(t, fmt.Sprint(i), "models/m", base, settings.Bootstrap, fmt.Sprintf(`{"version":"%d"}`, i)))
+			require.NoError(t, err)
+			require.Equal(t, settings.Accepted, verdicts[0].Outcome)
+			base = verdicts[0].Version
+			require.NoError(t, r2.CatchUp(within(t, time.Minute), r1.Offsets()))
+			require.Equal(t, fmt.Sprint(i), r2.Settings().Models["m"].Version)
+			now := r2.Offsets()
+			require.GreaterOrEqual(t, now.Settings, seen.Settings)
+			require.GreaterOrEqual(t, now.Fleet, seen.Fleet)
+			seen = now
+		}
+		_, err := r2.settings.Adopt(mustSnapshot(t, settings.New()))
+		require.NoError(t, err)
+		require.Equal(t, seen, r2.Offsets())
+	})
+}
+
+func mustSnapshot(t *testing.T, s *settings.State) []byte {
+	raw, err := s.Snapshot()
+	require.NoError(t, err)
+	return raw
+}
+
+// Operators race on one subtree through different routers: exactly one wins.
+func TestExactlyOneOperatorWins(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		routers := []*Node{w.start(fleet.RoleRouter, "r1"), w.start(fleet.RoleRouter, "r2"), w.start(fleet.RoleRouter, "r3")}
+		w.log.LoseReplies(2)
+		outcomes := make([]settings.Outcome, len(routers))
+		var work conc.WaitGroup
+		for i, r := range routers {
+			work.Go(func() {
+				verdicts, err := r.SubmitSettings(within(t, time.Minute), changeRecord(t, fmt.Sprint(i), "models/m", -1, settings.Bootstrap, fmt.Sprintf(`{"version":"%d"}`, i)))
+				require.NoError(t, err)
+				outcomes[i] = verdicts[0].Outcome
+			})
+		}
+		work.Wait()
+		winners := 0
+		for i, outcome := range outcomes {
+			if outcome == settings.Accepted {
+				winners++
+				require.Equal(t, fmt.Sprint(i), routers[0].Settings().Models["m"].Version)
+				continue
+			}
+			require.Equal(t, settings.Conflict, outcome)
+		}
+		require.Equal(t, 1, winners)
+	})
+}
+
+// Every process is lost at once; the log has kept only the newest entries.
+func TestAllProcessesLostAtOnce(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.log.Retain(64)
+		r1 := w.start(fleet.RoleRouter, "r1")
+		grant(t, r1, 1000)
+		base := ident.NoOffset
+		for i := range 300 {
+			verdicts, err := r1.SubmitSettings(within(t, time.Minute), changeRecord(t, fmt.Sprint(i), "models/m", base, settings.Bootstrap, fmt.Sprintf(`{"version":"%d"}`, i)))
+			require.NoError(t, err)
+			base = verdicts[0].Version
+			back, err := record.New(ledger.KindReturn, ledger.Return{Team: "a", Tokens: 1})
+			require.NoError(t, err)
+			_, err = r1.Ledger().Submit(within(t, time.Minute), "a", back)
+			require.NoError(t, err)
+			time.Sleep(time.Second)
+		}
+		w.kill(r1)
+		time.Sleep(20 * time.Minute)
 		r2 := w.start(fleet.RoleRouter, "r2")
-		s1 := w.start(fleet.RoleSide, "s1", agree)
-		time.Sleep(5 * time.Second) // the list is seen with all VMs
-		gone := r2.Incarnation()
-		w.kill(r2)
-		eventually(t, time.Minute, func() bool { return s1.Members().Sealed(gone) }, "sealed")
-		time.Sleep(time.Hour)
-		require.False(t, r1.Members().Closed(gone))
-		close(agree)
-		eventually(t, time.Minute, func() bool { return r1.Members().Closed(gone) }, "closed")
+		eventually(t, time.Minute, func() bool { return r2.Ready() == nil }, "ready")
+		require.Equal(t, "299", r2.Settings().Models["m"].Version)
+		eventually(t, 5*time.Minute, func() bool { return free(r2) == 1000 }, "the grant of the lost router is free")
 	})
 }
