Node: a stopped process answers no peer in the tests

The loss of all processes passed also without checkpoints of the settings: the fake of a killed router still answered a new one.

--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -26,7 +26,7 @@
 	t     *testing.T
 	log   *memlog.Log
 	vms   *vmlist.Memory
-	mu    sync.Mutex // guards nodes
+	mu    sync.Mutex // guards nodes and ended
 	nodes map[string]*Node
 	ended map[*Node]bool
 }
@@ -85,6 +85,8 @@
 
 func (w *world) crash(n *Node) {
 	n.Abandon()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.ended[n] = true
 }
 
@@ -103,8 +105,9 @@
 func (c caller) Call(_ context.Context, method string, args, reply any) error {
 	c.w.mu.Lock()
 	n := c.w.nodes[c.address]
+	gone := c.w.ended[n]
 	c.w.mu.Unlock()
-	if n == nil {
+	if n == nil || gone {
 		return rpc.ErrNotSent
 	}
 	switch args := args.(type) {
