Control measured: appends by stream and reason, settings in force, cost of following

RPC: a dial that hangs held every caller up to 2 s past its deadline; callers now wait for a shared dial no longer than their own deadline (seen failing without). Streams: a page with a gap and a quiet stream under a retention by time are proved; seen failing with the check of either gap left out and without the checkpoint by age.

--- a/cmd/camphor-measure/main.go
+++ b/cmd/camphor-measure/main.go
@@ -12,6 +12,7 @@
 	"github.com/camphorlever/camphorlever/internal/measure"
 	"github.com/camphorlever/camphorlever/internal/measure/budget"
 	"github.com/camphorlever/camphorlever/internal/measure/capacity"
+	"github.com/camphorlever/camphorlever/internal/measure/control"
 	"github.com/camphorlever/camphorlever/internal/measure/ledgerbench"
 	"github.com/camphorlever/camphorlever/internal/measure/placement"
 	"github.com/camphorlever/camphorlever/internal/measure/schedules"
@@ -22,6 +23,7 @@
 var groups = slices.Concat(
 	[]measure.Group{
 		capacity.Group,
+		control.Group,
 		budget.Group,
 		ledgerbench.Group,
 		schedules.Group,
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -45,9 +45,17 @@
 type Client struct {
 	options Options
 
-	mu     sync.Mutex // guards conn and closed
-	conn   *connection
-	closed bool
+	mu       sync.Mutex // guards conn, dialling and closed
+	conn     *connection
+	dialling *dialling // nil if no dial is in progress
+	closed   bool
+}
+
+// dialling is a dial in progress; conn and err are set before done is closed.
+type dialling struct {
+	done chan struct{}
+	conn *connection
+	err  error
 }
 
 var _ Caller = (*Client)(nil)
@@ -136,26 +144,51 @@
 	return nil
 }
 
-// connect returns the connection in use, or dials one. Concurrent callers wait
-// for the same dial.
+// connect returns the connection in use, or waits for one to be dialled.
+// Concurrent callers wait for the same dial, each no longer than its own ctx.
 func (c *Client) connect(ctx context.Context) (*connection, error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
+	conn, attempt, closed := c.conn, c.dialling, c.closed
+	if conn == nil && attempt == nil && !closed {
+		attempt = &dialling{done: make(chan struct{})}
+		c.dialling = attempt
+		go c.dialOnce(attempt)
+	}
+	c.mu.Unlock()
+	switch {
+	case closed:
 		return nil, errors.New("client is closed")
+	case conn != nil:
+		return conn, nil
 	}
-	if c.conn != nil {
-		return c.conn, nil
+	select {
+	case <-attempt.done:
+		return attempt.conn, attempt.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+}
+
+// dialOnce dials and puts the connection in use.
+func (c *Client) dialOnce(attempt *dialling) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	conn, err := c.dial(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	defer close(attempt.done)
+	c.dialling = nil
+	attempt.conn, attempt.err = conn, err
 	if err != nil {
-		return nil, err
+		return
+	}
+	if c.closed {
+		conn.close()
+		attempt.conn, attempt.err = nil, errors.New("client is closed")
+		return
 	}
 	c.conn = conn
 	go c.heartbeats(conn)
-	return conn, nil
 }
 
 // dial opens a connection and asks for net/rpc on it.
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -177,6 +177,22 @@
 	})
 }
 
+func TestADialThatHangsHoldsNobodyPastItsDeadline(t *testing.T) {
+	inNetwork(t, func(t *testing.T, n *network, _ *Client, _ *Peer) {
+		c := NewClient(Options{Service: "Peer", Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}})
+		began := time.Now()
+		go func() { _, _ = double(c, 1, time.Hour) }()
+		synctest.Wait()
+		_, err := double(c, 1, 100*time.Millisecond)
+		require.ErrorIs(t, err, ErrNotSent)
+		require.Equal(t, 100*time.Millisecond, time.Since(began))
+		time.Sleep(dialTimeout)
+	})
+}
+
 func TestServerWantsTheFleetKey(t *testing.T) {
 	server := NewServer("fleet")
 	require.NoError(t, server.Register("Peer", &Peer{}))
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"context"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -300,3 +301,71 @@
 	f.View(func(s *sum) { total, adds = s.Total, s.Adds })
 	return total, adds
 }
+
+// gappy is a log whose pages lack an entry now and then.
+type gappy struct {
+	*memlog.Log
+	reads int
+}
+
+func (g *gappy) Read(ctx context.Context, request logservice.ReadRequest) (logservice.Page, error) {
+	page, err := g.Log.Read(ctx, request)
+	g.reads++
+	if n := len(page.Entries); n > 1 && g.reads%3 != 0 {
+		missing := g.reads % n
+		page.Entries = append(page.Entries[:missing:missing], page.Entries[missing+1:]...)
+	}
+	return page, err
+}
+
+// A page with a gap is not trusted beyond the gap, neither when following nor
+// when rebuilding.
+func TestAGapIsNeverSkipped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New()
+		p := start(log, 7, 1)
+		defer p.stop()
+		for i := range 50 {
+			_, err := p.add(t, i)
+			require.NoError(t, err)
+		}
+		follower := NewFollower(&gappy{Log: log}, sumSpec(1), zerolog.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		var work conc.WaitGroup
+		work.Go(func() { follower.Run(ctx) })
+		require.NoError(t, follower.Wait(within(t, time.Hour), p.Offset()))
+		cancel()
+		work.Wait()
+		sum, adds := total(follower)
+		require.Equal(t, []int{49 * 50 / 2, 50}, []int{sum, adds})
+		_, err := Rebuild(t.Context(), &gappy{Log: log}, sumSpec(1))
+		require.ErrorIs(t, err, logservice.ErrUnavailable)
+	})
+}
+
+// Retention may also be a time: a stream in which nothing happens keeps a
+// checkpoint among what is retained.
+func TestAQuietStreamKeepsACheckpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New()
+		p := start(log, 7, 1)
+		defer p.stop()
+		keeper := NewCheckpointer(p.Follower, p.writer)
+		ctx, cancel := context.WithCancel(t.Context())
+		var work conc.WaitGroup
+		work.Go(func() { keeper.Run(ctx) })
+		defer work.Wait()
+		defer cancel()
+		_, err := p.add(t, 5)
+		require.NoError(t, err)
+		for range 12 {
+			_, old, err := Ends(t.Context(), log, testStream)
+			require.NoError(t, err)
+			time.Sleep(40 * time.Minute)
+			log.Trim(testStream, old) // what is older than 40 minutes
+			fold, err := Rebuild(t.Context(), log, sumSpec(1))
+			require.NoError(t, err)
+			require.Equal(t, 5, fold.Total)
+		}
+	})
+}
