Settlement: the fate of a lost begin is found out from its gate

A begin whose reply was lost held its reservation until the gate's life was over, also when the run never was. The tracker now asks the gate, which seals the key: never run frees the reservation, done waits for the bill, running waits. Mutations seen failing: no probes; a run that is done but not billed, or still running, taken for over.

--- a/internal/settlement/tracker.go
+++ b/internal/settlement/tracker.go
@@ -17,6 +17,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 
 	"github.com/camphorlever/camphorlever/internal/counter"
 	"github.com/camphorlever/camphorlever/internal/ident"
@@ -62,7 +63,8 @@
 	View(team ident.TeamID, visit func(*ledger.State))
 }
 
-// Config holds what a tracker needs. All fields but Resolved are required.
+// Config holds what a tracker needs. Resolved, Probe and NeverRan may be
+// nil.
 type Config struct {
 	Ledger Ledger
 	// Self returns the router's incarnation.
@@ -73,6 +75,14 @@
 	// Resolved is told when a copy is dropped because its run stands settled
 	// in the ledger; it is called under the tracker's lock and may be nil.
 	Resolved func(Copy)
+	// Probe asks a gate to seal the key of a copy and returns what its state
+	// was. It fails if another life of the gate answers. Without it, lost
+	// begins are kept until their gate is sealed.
+	Probe func(ctx context.Context, c Copy) (wire.KeyState, error)
+	// NeverRan is told when a lost begin turns out never to have run and the
+	// key is sealed at its gate; it is called under the tracker's lock and
+	// may be nil.
+	NeverRan func(Copy)
 	Logger   zerolog.Logger
 }
 
@@ -91,6 +101,7 @@
 // two requests have the same key.
 type tracked struct {
 	begun    int // begins whose end is not known
+	lost     int // of these, begins that nobody waits for any more
 	finished []finishedRun
 }
 
@@ -137,6 +148,7 @@
 		return
 	}
 	state.begun--
+	state.lost = min(state.lost, state.begun)
 	t.prune(c, state)
 	counts.Inc("not_started")
 }
@@ -150,6 +162,7 @@
 		return // resolved meanwhile
 	}
 	state.begun--
+	state.lost = min(state.lost, state.begun)
 	state.finished = append(state.finished, finishedRun{run: run, tokens: min(usage.Total(), c.Bound)})
 	counts.Inc("finished")
 }
@@ -171,8 +184,14 @@
 	}
 }
 
-// Run drops the copies whose settlement the ledger shows, until ctx ends.
+// Run drops the copies whose settlement the ledger shows and finds out about
+// lost begins, until ctx ends.
 func (t *Tracker) Run(ctx context.Context) {
+	var probes conc.WaitGroup
+	defer probes.Wait()
+	if t.config.Probe != nil {
+		probes.Go(func() { t.probeLoop(ctx) })
+	}
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/settlement/tracker_test.go
+++ b/internal/settlement/tracker_test.go
@@ -34,6 +34,9 @@
 	down      bool
 	sealed    bool
 	resolved  int
+	neverRan  int
+	key       wire.KeyState // what the gate says of any key
+	cut       bool          // the gate cannot be reached
 }
 
 func inWorld(t *testing.T, test func(t *testing.T, w *world)) {
@@ -44,6 +47,8 @@
 			Self:     func() ident.Incarnation { return router },
 			Sealed:   func(i ident.Incarnation) bool { w.mu.Lock(); defer w.mu.Unlock(); return w.sealed && i == gate },
 			Resolved: func(Copy) { w.resolved++ },
+			NeverRan: func(Copy) { w.neverRan++ },
+			Probe:    w.probe,
 			Logger:   zerolog.Nop(),
 		})
 		w.write(router, ledger.KindTopUp, ledger.TopUp{Team: "a", ID: "1", Tokens: 1000})
@@ -95,6 +100,21 @@
 	})
 }
 
+func (w *world) probe(context.Context, Copy) (wire.KeyState, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cut {
+		return 0, errors.New("cut")
+	}
+	return w.key, nil
+}
+
+func (w *world) gateSays(cut bool, key wire.KeyState) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut, w.key = cut, key
+}
+
 func (w *world) seal() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -221,3 +241,30 @@
 		require.EqualValues(t, 5, w.billed())
 	})
 }
+
+// The reservation of a begin whose reply was lost is neither freed while the
+// run may go on nor held for ever when it never was.
+func TestLostBeginsAreFoundOut(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.gateSays(true, wire.KeyUnknown)
+		require.True(t, w.tracker.Track(copyOf(1)))
+		require.True(t, w.tracker.Track(copyOf(2)))
+		require.True(t, w.tracker.Track(copyOf(3))) // its answer is being read
+		w.tracker.Lost(copyOf(1))
+		w.tracker.Lost(copyOf(2))
+		time.Sleep(time.Hour)
+		require.Equal(t, []int{3, 0, 0}, []int{w.tracker.Open(), w.neverRan, w.resolved})
+		w.gateSays(false, wire.KeyRunning)
+		time.Sleep(time.Hour)
+		require.Equal(t, []int{3, 0, 0}, []int{w.tracker.Open(), w.neverRan, w.resolved})
+		w.gateSays(false, wire.KeyDone)
+		time.Sleep(time.Minute)
+		require.Equal(t, []int{3, 0, 0}, []int{w.tracker.Open(), w.neverRan, w.resolved})
+		w.gateSettles(copyOf(1), 1, 5)
+		time.Sleep(time.Minute)
+		require.Equal(t, []int{2, 0, 1}, []int{w.tracker.Open(), w.neverRan, w.resolved})
+		w.gateSays(false, wire.KeySealed)
+		time.Sleep(time.Minute)
+		require.Equal(t, []int{1, 1, 1}, []int{w.tracker.Open(), w.neverRan, w.resolved})
+	})
+}
