--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,8 +93,10 @@
 
 // shard is a part of the teams.
 type shard struct {
-	mu    sync.RWMutex // guards the map; the hands have their own locks
-	hands map[ident.TeamID]*hand
+	mu sync.Mutex // orders the writers of hands; the hands have their own locks
+	// hands is replaced as a whole when a team is added, so that admission
+	// reads it without a lock.
+	hands atomic.Pointer[map[ident.TeamID]*hand]
 }
 
 // New returns a router's empty share. Run must be running for draws to be made
@@ -113,7 +116,7 @@
 	}
 	g.life, g.cancel = context.WithCancel(context.Background())
 	for i := range g.shards {
-		g.shards[i].hands = map[ident.TeamID]*hand{}
+		g.shards[i].hands.Store(&map[ident.TeamID]*hand{})
 	}
 	return g
 }
@@ -128,11 +131,7 @@
 
 // lookup returns what is in hand for a team, nil if nothing ever was.
 func (g *Grants) lookup(team ident.TeamID) *hand {
-	s := g.shardOf(team)
-	s.mu.RLock()
-	h := s.hands[team]
-	s.mu.RUnlock()
-	return h
+	return (*g.shardOf(team).hands.Load())[team]
 }
 
 // hand returns what is in hand for a team, creating it if needed.
@@ -143,11 +142,14 @@
 	s := g.shardOf(team)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if h := s.hands[team]; h != nil {
+	old := *s.hands.Load()
+	if h := old[team]; h != nil {
 		return h
 	}
 	h := newHand(team, g.config.Self)
-	s.hands[team] = h
+	next := maps.Clone(old)
+	next[team] = h
+	s.hands.Store(&next)
 	return h
 }
 
@@ -155,12 +157,9 @@
 func (g *Grants) hands() []*hand {
 	var all []*hand
 	for i := range g.shards {
-		s := &g.shards[i]
-		s.mu.RLock()
-		for _, h := range s.hands {
+		for _, h := range *g.shards[i].hands.Load() {
 			all = append(all, h)
 		}
-		s.mu.RUnlock()
 	}
 	return all
 }
--- a/internal/measure/budget/chosen.go
+++ b/internal/measure/budget/chosen.go
@@ -33,7 +33,16 @@
 	routers []*grants.Grants
 	owed    [][]record.Record // settlements not yet written, by side process
 	runs    []uint64          // numbered, by side process
-	appends int
+	appends traffic           // before the first fault
+}
+
+// settleDelay is how long a side process gathers settlements.
+const settleDelay = 200 * time.Millisecond
+
+// traffic counts appends and their bytes by reason.
+type traffic struct {
+	appends map[record.Kind]int
+	bytes   int
 }
 
 func newChosen(s *scenario, policy grants.Policy) *chosen {
@@ -42,6 +51,8 @@
 		seq:   map[ident.Incarnation]uint64{},
 		owed:  make([][]record.Record, s.d.sides),
 		runs:  make([]uint64, s.d.sides),
+
+		appends: traffic{appends: map[record.Kind]int{}},
 	}
 	for router := range routerCount {
 		port := &port{c: c, router: router}
@@ -65,7 +76,6 @@
 
 // write appends a batch and returns the fold's verdicts.
 func (c *chosen) write(writer ident.Incarnation, records []record.Record) []ledger.Verdict {
-	c.appends++
 	c.seq[writer]++
 	data, err := record.Marshal(record.Batch{
 		Identity: record.Identity{Writer: writer, Sequence: c.seq[writer]},
@@ -74,6 +84,10 @@
 	if err != nil {
 		panic(err)
 	}
+	if c.w.now < faultStart {
+		c.appends.appends[records[0].Kind]++
+		c.appends.bytes += len(data)
+	}
 	return c.state.Apply(c.state.Offset()+1, data)
 }
 
@@ -97,12 +111,8 @@
 		c.expose()
 	}
 	c.freeze()
-	for side, records := range c.owed {
-		site := side / (w.s.d.sides / dataCentres)
-		if len(records) > 0 && w.s.logReaches(site, w.now) {
-			c.write(firstSide+ident.Incarnation(side), records)
-			c.owed[side] = nil
-		}
+	for side := range c.owed {
+		c.settle(side)
 	}
 	for router, g := range c.routers {
 		if !w.s.asleep(router, w.now) {
@@ -111,6 +121,17 @@
 	}
 }
 
+// settle writes what a side process owes, if it reaches the log.
+func (c *chosen) settle(side int) {
+	s := c.w.s
+	site := side / (s.d.sides / dataCentres)
+	if len(c.owed[side]) == 0 || !s.logReaches(site, c.w.now) {
+		return
+	}
+	c.write(firstSide+ident.Incarnation(side), c.owed[side])
+	c.owed[side] = nil
+}
+
 // expose notes which part of what is left the router with the most holds.
 func (c *chosen) expose() {
 	var most, left int64
@@ -162,6 +183,9 @@
 	c.w = w
 	reservation := t.(grants.Reservation)
 	c.routers[router].Settle(reservation, r.cost())
+	if len(c.owed[r.side]) == 0 {
+		w.after(settleDelay, func() { c.settle(r.side) })
+	}
 	c.runs[r.side]++
 	run := ident.RunID{Gate: firstSide + ident.Incarnation(r.side), Number: c.runs[r.side]}
 	c.owed[r.side] = append(c.owed[r.side], newRecord(ledger.KindSettle, ledger.Settle{
--- a/internal/measure/budget/group.go
+++ b/internal/measure/budget/group.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	grants "github.com/camphorlever/camphorlever/internal/budget"
+	"github.com/camphorlever/camphorlever/internal/ledger"
 	"github.com/camphorlever/camphorlever/internal/measure"
 )
 
@@ -69,9 +70,31 @@
 	for _, job := range jobs {
 		job.report(emit)
 	}
+	for _, d := range deployments {
+		reportTraffic(d, emit)
+	}
 	return nil
 }
 
+// reportTraffic emits the appends to the ledger without faults, at the load of
+// a deployment.
+func reportTraffic(d deployment, emit measure.Emit) {
+	s := logOutage(d, seeds[0])
+	c := newChosen(&s, grants.Policy{Horizon: horizon})
+	play(&s, c)
+	seconds := faultStart.Seconds()
+	var all int
+	for _, n := range c.appends.appends {
+		all += n
+	}
+	name := "ledger." + d.name + "."
+	emit(name+"appends_per_s", float64(all)/seconds, "per_s")
+	emit(name+"settle_appends_per_s", float64(c.appends.appends[ledger.KindSettle])/seconds, "per_s")
+	emit(name+"draw_appends_per_s", float64(c.appends.appends[ledger.KindDraw])/seconds, "per_s")
+	emit(name+"return_appends_per_s", float64(c.appends.appends[ledger.KindReturn])/seconds, "per_s")
+	emit(name+"bytes_per_s", float64(c.appends.bytes)/seconds, "bytes_per_s")
+}
+
 // comparison is one scenario under all policies.
 type comparison struct {
 	d    deployment
