--- a/internal/budget/control.go
+++ b/internal/budget/control.go
@@ -12,6 +12,9 @@
 // Intervals of the controller.
 const (
 	tickInterval = time.Second
+	// balanceInterval is the least time between two adjustments of a grant
+	// that are not urgent.
+	balanceInterval = 5 * time.Second
 	// loanIdle is how long an unused loan is kept.
 	loanIdle = 30 * time.Second
 	// scarceLoanIdle is the same for a budget that is scarce.
@@ -58,11 +61,12 @@
 	h.low = policy.Low(target)
 	h.mu.Unlock()
 	_, homed := g.homeOf(situation, h)
-	if asked := policy.Draw(situation); asked > 0 && !homed {
-		g.startDraw(h, asked, 1)
+	asked, excess := policy.Draw(situation), policy.Excess(situation)
+	if homed {
+		asked = 0
 	}
-	if excess := policy.Excess(situation); excess > 0 {
-		g.giveBack(h, g.health.cap(excess, now))
+	if (asked > 0 || excess > 0) && (policy.Urgent(situation) || h.mayBalance(now)) {
+		g.balance(h, asked, excess, now)
 	}
 	rest := loanIdle
 	if policy.Scarcity(situation) != Ample {
@@ -71,6 +75,33 @@
 	g.repayIdle(ctx, h, now, rest)
 }
 
+// balance draws or returns. If no more than a probe may be returned, the rest
+// follows with the next tick.
+func (g *Grants) balance(h *hand, asked, excess int64, now time.Time) {
+	if asked > 0 {
+		g.startDraw(h, asked, 1)
+	}
+	allowed := g.health.cap(excess, now)
+	g.giveBack(h, allowed)
+	if allowed < excess {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.balanced = time.Time{}
+	}
+}
+
+// mayBalance reports whether it is time to adjust the own grant again, which
+// costs an append.
+func (h *hand) mayBalance(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.Sub(h.balanced) < balanceInterval {
+		return false
+	}
+	h.balanced = now
+	return true
+}
+
 // followDemand moves the averages of the demand on.
 func (g *Grants) followDemand(h *hand, budget ledger.Budget, now time.Time) {
 	var (
--- a/internal/budget/policy.go
+++ b/internal/budget/policy.go
@@ -57,6 +57,8 @@
 	// the target.
 	lowWater  = 0.93
 	highWater = 1.07
+	// urgentWater is the part of the target below which a draw cannot wait.
+	urgentWater = 0.5
 	// idleShare is the part of a scarce budget that may stay in the ledger.
 	idleShare = 0.01
 	// minRuns is how many runs of a recent bound are worth holding.
@@ -125,6 +127,12 @@
 	return int64(p.part() * s.SiteShare * float64(s.Free))
 }
 
+// Urgent reports whether an adjustment of the own grant cannot wait: it is far
+// too small, or the budget is ending.
+func (p Policy) Urgent(s Situation) bool {
+	return p.Scarcity(s) == Ending || float64(s.Hand) < urgentWater*float64(p.Target(s))
+}
+
 // Excess returns how many tokens to give back.
 func (p Policy) Excess(s Situation) int64 {
 	target := p.Target(s)
