Grants: the controller's cost, and the sizing proved by tables

A revoked loan is forgotten once no run uses it, and a sealed lender is not asked even while the list still has it.

Seen failing with mutations: loans forgotten in use or though good, hands never looked at again, two repayments in flight, sealed lenders asked, home kept after the routers changed, scarce or little used budgets drawn by everyone, ending budgets held, full homes drawing on, runs counted for the lender's data centre.

--- a/internal/budget/acquire.go
+++ b/internal/budget/acquire.go
@@ -22,15 +22,15 @@
 		return Reservation{}, Short
 	}
 	if low {
-		g.wake()
+		g.wake(h)
 	}
 	return r, Reserved
 }
 
-// wake lets the controller run before its next tick.
-func (g *Grants) wake() {
+// wake lets the controller see to a hand before its next tick.
+func (g *Grants) wake(h *hand) {
 	select {
-	case g.kick <- struct{}{}:
+	case g.kick <- h:
 	default:
 	}
 }
--- a/internal/budget/borrow.go
+++ b/internal/budget/borrow.go
@@ -198,7 +198,7 @@
 func (g *Grants) lenders(h *hand) []lender {
 	var grants []ledger.Grant
 	g.config.Ledger.View(h.team, func(s *ledger.State) { grants = s.Grants(h.team) })
-	routers := g.config.Fleet.Routers()
+	routers := g.roster().routers
 	var found []lender
 	for _, grant := range grants {
 		if grant.Holder == g.config.Self || grant.Outstanding() <= 0 {
@@ -207,7 +207,7 @@
 		l := lender{router: grant.Holder, holds: grant.Outstanding()}
 		for _, r := range routers {
 			if r.Incarnation == l.router {
-				l.reachable = true
+				l.reachable = !g.config.Fleet.Sealed(l.router)
 				l.near = r.DataCentre == g.config.DataCentre
 			}
 		}
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -73,7 +73,12 @@
 	Launch func(task func())
 }
 
-const shardCount = 64
+const (
+	shardCount = 64
+	// kickQueue bounds the hands that wait for a draw out of turn; others are
+	// seen to by the next tick.
+	kickQueue = 256
+)
 
 // Grants is a router's share of all budgets. It is safe for concurrent use.
 type Grants struct {
@@ -83,7 +88,8 @@
 	loans  loanBook
 	fenced atomic.Bool
 	health health
-	kick   chan struct{} // wakes the controller before its next tick
+	known  atomic.Pointer[roster]
+	kick   chan *hand // hands whose draw is due before the next tick
 	tasks  sync.WaitGroup
 	life   context.Context // ends with Close; draws in flight run under it
 	cancel context.CancelFunc
@@ -104,7 +110,7 @@
 func New(config Config) *Grants {
 	g := &Grants{
 		config: config,
-		kick:   make(chan struct{}, 1),
+		kick:   make(chan *hand, kickQueue),
 		counts: counter.NewSet("budget"),
 		log:    config.Logger.With().Str("part", "budget").Logger(),
 	}
--- a/internal/budget/control.go
+++ b/internal/budget/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/camphorlever/camphorlever/internal/ident"
@@ -15,6 +16,11 @@
 	// balanceInterval is the least time between two adjustments of a grant
 	// that are not urgent.
 	balanceInterval = 5 * time.Second
+	// dormantRate is the demand, in tokens a second, below which a team may
+	// be left alone.
+	dormantRate = 1.0
+	// dormantTicks is how many ticks a hand without tokens is left alone.
+	dormantTicks = 30
 	// loanIdle is how long an unused loan is kept.
 	loanIdle = 30 * time.Second
 	// scarceLoanIdle is the same for a budget that is scarce.
@@ -30,24 +36,44 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-g.kick:
+		case h := <-g.kick:
+			g.tickHand(ctx, h)
 		case <-ticker.C:
+			g.Tick(ctx)
 		}
-		g.Tick(ctx)
 	}
 }
 
 // Tick is one round of the controller.
 func (g *Grants) Tick(ctx context.Context) {
-	if g.fenced.Load() {
-		return
-	}
 	for _, h := range g.hands() {
-		g.tickHand(ctx, h)
+		if !h.dormant() {
+			g.tickHand(ctx, h)
+		}
+	}
+}
+
+// dormant reports whether a hand is empty and unused, so that the controller
+// can leave it alone. Now and then it looks nevertheless: a draw whose outcome
+// was unknown may have been granted.
+func (h *hand) dormant() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	empty := h.own.free == 0 && h.own.reserved == 0 && len(h.loans)+len(h.lent)+len(h.held) == 0
+	demanded := h.demand.used > 0 || max(h.demand.rate(), h.fleet.rate()) >= dormantRate
+	if !empty || demanded || h.skipped >= dormantTicks {
+		h.skipped = 0
+		return false
 	}
+	h.skipped++
+	return true
 }
 
+// tickHand sees to one team.
 func (g *Grants) tickHand(ctx context.Context, h *hand) {
+	if g.fenced.Load() {
+		return
+	}
 	budget := g.sync(h)
 	now := g.config.Now()
 	g.followDemand(h, budget, now)
@@ -105,14 +131,14 @@
 // followDemand moves the averages of the demand on.
 func (g *Grants) followDemand(h *hand, budget ledger.Budget, now time.Time) {
 	var (
-		grants []ledger.Grant
+		here   int64
 		offset ident.Offset
 	)
+	r := g.roster()
 	g.config.Ledger.View(h.team, func(s *ledger.State) {
-		grants = s.Grants(h.team)
+		here = r.billedHere(s, h.team)
 		offset = s.Offset()
 	})
-	here := g.billedHere(grants)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.demand.tick(now)
@@ -125,7 +151,8 @@
 }
 
 // revoke stops the use of loans whose lender is sealed: the gates refuse runs
-// under them, and the ledger frees them with the lender's grant.
+// under them, and the ledger frees them with the lender's grant. A loan is
+// forgotten once that has happened and no run uses it.
 func (g *Grants) revoke(h *hand) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -135,32 +162,37 @@
 			g.counts.Inc("loan_revoked")
 		}
 	}
+	h.loans = slices.DeleteFunc(h.loans, func(s *source) bool { return s.revoked && s.reserved == 0 })
 }
 
 // repayIdle gives back what is left of loans that have not been used, and
 // sends again what was not confirmed.
 func (g *Grants) repayIdle(ctx context.Context, h *hand, now time.Time, rest time.Duration) {
-	for _, args := range h.due(now, rest) {
-		if ctx.Err() != nil {
-			return
-		}
-		lender := args.lender
-		args.args.Borrower = g.config.Self
-		call, cancel := context.WithTimeout(ctx, borrowWait)
-		_, err := g.config.Peers.Repay(call, lender, args.args)
-		cancel()
-		if err != nil {
-			g.counts.Inc("repay_unknown")
-			continue
-		}
-		h.confirm(args)
+	for _, r := range h.due(now, rest) {
+		r.args.Borrower = g.config.Self
+		g.config.Launch(func() { g.repay(ctx, h, r) })
+	}
+}
+
+// repay makes one call.
+func (g *Grants) repay(ctx context.Context, h *hand, r repayment) {
+	ctx, cancel := context.WithTimeout(ctx, borrowWait)
+	defer cancel()
+	_, err := g.config.Peers.Repay(ctx, r.source.holder, r.args)
+	if err != nil {
+		g.counts.Inc("repay_unknown")
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r.source.repaying = false
+	if err == nil {
+		r.source.repaidOK = max(r.source.repaidOK, r.args.Total)
 	}
 }
 
 // repayment is one call to be made.
 type repayment struct {
 	source *source
-	lender ident.Incarnation
 	args   wire.RepayArgs
 }
 
@@ -181,15 +213,10 @@
 			s.repaid += s.free
 			s.free = 0
 		}
-		if s.repaid > s.repaidOK {
-			list = append(list, repayment{source: s, lender: s.holder, args: wire.RepayArgs{Team: h.team, Total: s.repaid}})
+		if s.repaid > s.repaidOK && !s.repaying {
+			s.repaying = true
+			list = append(list, repayment{source: s, args: wire.RepayArgs{Team: h.team, Total: s.repaid}})
 		}
 	}
 	return list
 }
-
-func (h *hand) confirm(r repayment) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	r.source.repaidOK = max(r.source.repaidOK, r.args.Total)
-}
--- a/internal/budget/home.go
+++ b/internal/budget/home.go
@@ -25,7 +25,7 @@
 	if s.Home || !little && policy.Scarcity(s) != Scarce {
 		return 0, false
 	}
-	home := homeRouter(h.team, g.config.Fleet.Routers(), g.config.DataCentre)
+	home := g.home(h, g.roster())
 	return home, home != 0
 }
 
@@ -69,8 +69,8 @@
 
 // situation describes a budget to the policy.
 func (g *Grants) situation(h *hand, budget ledger.Budget) Situation {
-	routers := g.config.Fleet.Routers()
-	home := homeRouter(h.team, routers, g.config.DataCentre)
+	r := g.roster()
+	home := g.home(h, r)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := Situation{
@@ -79,9 +79,9 @@
 		Hand:      h.own.free,
 		Rate:      h.demand.rate(),
 		FleetRate: h.fleet.rate(),
-		SiteShare: float64(g.here(routers)) / float64(max(len(routers), 1)),
+		SiteShare: r.siteShare(),
 		Bound:     int64(h.demand.bound),
-		Routers:   max(len(routers), 1),
+		Routers:   max(len(r.routers), 1),
 		Home:      home == 0 || home == g.config.Self,
 	}
 	if h.fleet.long > 0 {
@@ -89,36 +89,3 @@
 	}
 	return s
 }
-
-// here counts the routers of this data centre.
-func (g *Grants) here(routers []Router) int {
-	n := 0
-	for _, r := range routers {
-		if r.DataCentre == g.config.DataCentre {
-			n++
-		}
-	}
-	return n
-}
-
-// billedHere sums what the runs begun by this data centre's routers cost.
-func (g *Grants) billedHere(grants []ledger.Grant) int64 {
-	here := map[ident.Incarnation]bool{}
-	for _, r := range g.config.Fleet.Routers() {
-		here[r.Incarnation] = r.DataCentre == g.config.DataCentre
-	}
-	var total int64
-	for _, grant := range grants {
-		own := grant.Billed
-		for _, f := range grant.Foreign {
-			own -= f.Billed
-			if here[f.Router] {
-				total += f.Billed
-			}
-		}
-		if here[grant.Holder] {
-			total += own
-		}
-	}
-	return total
-}
--- /dev/null
+++ b/internal/budget/sizing_test.go
@@ -0,0 +1,166 @@
+package budget
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/ledger"
+	"github.com/camphorlever/camphorlever/internal/wire"
+)
+
+// TestPolicy lists the sizes for a fleet that spends 100 tokens a second, half
+// of it in this data centre and a fifth at this router.
+func TestPolicy(t *testing.T) {
+	policy := Policy{Horizon: 600 * time.Second}
+	cautious := Policy{Horizon: 600 * time.Second, Caution: 1}
+	at := func(free, spread, hand int64, home bool) Situation {
+		return Situation{Free: free, Spread: spread, Hand: hand, Rate: 20, FleetRate: 100, SiteShare: 0.5, Bound: 1000, Routers: 6, Home: home}
+	}
+	for _, c := range []struct {
+		name   string
+		policy Policy
+		s      Situation
+		scarce Scarcity
+		target int64
+		draw   int64
+		excess int64
+	}{
+		{"ample", policy, at(1_000_000, 0, 0, false), Ample, 20_000, 20_000, 0},
+		{"ample and full", policy, at(1_000_000, 0, 19_000, false), Ample, 20_000, 0, 0},
+		{"ample and too much", policy, at(1_000_000, 30_000, 30_000, false), Ample, 20_000, 0, 10_000},
+		{"ample, cautious", cautious, at(300_000, 0, 0, false), Ample, 15_000, 15_000, 0},
+		{"scarce at home", policy, at(40_000, 20_000, 10_000, true), Scarce, 30_000, 20_000, 0},
+		{"scarce at home, rest in the ledger", policy, at(2_000, 58_000, 29_000, true), Scarce, 30_000, 1_000, 0},
+		{"scarce at home, nothing in the ledger", policy, at(100, 59_900, 29_000, true), Scarce, 30_000, 0, 0},
+		{"scarce at home, full with a rest in the ledger", policy, at(2_000, 58_000, 32_500, true), Scarce, 30_000, 0, 2_500},
+		{"scarce elsewhere", policy, at(40_000, 20_000, 10_000, false), Scarce, 0, 0, 10_000},
+		{"ending", policy, at(2_000, 2_000, 2_000, true), Ending, 0, 0, 2_000},
+	} {
+		require.Equal(t, c.scarce, c.policy.Scarcity(c.s), c.name)
+		require.Equal(t, c.target, c.policy.Target(c.s), c.name)
+		require.Equal(t, c.draw, c.policy.Draw(c.s), c.name)
+		require.Equal(t, c.excess, c.policy.Excess(c.s), c.name)
+	}
+	require.True(t, policy.Urgent(at(1_000_000, 0, 9_000, false)))
+	require.False(t, policy.Urgent(at(1_000_000, 0, 11_000, false)))
+	require.True(t, policy.Urgent(at(2_000, 2_000, 2_000, true)))
+}
+
+// TestWhoIsAskedFirst: the other router of the data centre asks the home of a
+// scarce budget, or of one in little use, although the ledger has tokens.
+func TestWhoIsAskedFirst(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		tokens   int64
+		rate     float64
+		borrowed bool
+	}{
+		{"scarce", 50_000, 100, true},
+		{"ample", 1_000_000, 100, false},
+		{"in little use", 1_000_000, 1, true},
+		{"ending", 4_000, 100, false},
+	} {
+		w := newWorld(t, 2, Policy{Horizon: 600 * time.Second})
+		home := homeRouter("a", w.Routers(), "dc")
+		other := 3 - home
+		w.topUp("x", c.tokens)
+		w.routers[home].Settle(w.mustAcquire(home, c.tokens/2), 0)
+		h := w.routers[other].hand("a")
+		h.demand.long, h.demand.bound = c.rate, 1000
+		h.fleet.long = c.rate
+		r := w.mustAcquire(other, 1000)
+		require.Equal(t, c.borrowed, r.Holder() == home, c.name)
+	}
+}
+
+func TestHomeFollowsTheRouters(t *testing.T) {
+	w := newWorld(t, 4, testPolicy)
+	g := w.routers[1]
+	h := g.hand("a")
+	first := g.home(h, g.roster())
+	w.sealed[first] = true
+	require.Equal(t, first, g.home(h, g.roster()), "the roster is kept for a while")
+	w.now = w.now.Add(rosterAge)
+	second := g.home(h, g.roster())
+	require.NotEqual(t, first, second)
+	require.Equal(t, homeRouter("a", w.Routers(), "dc"), second)
+}
+
+// TestSealedLendersAreNotAsked even while the roster still lists them.
+func TestSealedLendersAreNotAsked(t *testing.T) {
+	w := newWorld(t, 2, testPolicy)
+	w.topUp("x", 1000)
+	w.routers[2].Settle(w.mustAcquire(2, 1000), 0)
+	w.routers[1].roster()
+	w.sealed[2] = true
+	lenders := w.routers[1].lenders(w.routers[1].hand("a"))
+	require.Len(t, lenders, 1)
+	require.False(t, lenders[0].reachable)
+}
+
+func TestRevokedLoansAreForgottenOnceUnused(t *testing.T) {
+	w := newWorld(t, 3, testPolicy)
+	w.topUp("x", 1000)
+	w.routers[2].Settle(w.mustAcquire(2, 500), 0)
+	w.routers[3].Settle(w.mustAcquire(3, 500), 0)
+	h := w.routers[1].hand("a")
+	h.addLoan(2, 100, false)
+	h.addLoan(3, 100, false)
+	r, _, ok := h.reserve(80)
+	require.True(t, ok)
+	w.sealed[r.Holder()] = true
+	w.routers[1].revoke(h)
+	require.Len(t, h.loans, 2, "one is in use, the other is good")
+	w.routers[1].Settle(r, 10)
+	w.routers[1].revoke(h)
+	require.Len(t, h.loans, 1)
+	require.NotEqual(t, r.Holder(), h.loans[0].holder)
+}
+
+// TestAnEmptyHandIsLeftAloneForAWhile: a draw whose reply was lost is found.
+func TestAnEmptyHandIsLeftAloneForAWhile(t *testing.T) {
+	w := newWorld(t, 1, testPolicy)
+	w.topUp("x", 1000)
+	w.routers[1].hand("a")
+	w.tick(time.Second)
+	w.do(1, ledger.KindDraw, ledger.Draw{Team: "a", Asked: 300})
+	for range dormantTicks - 2 {
+		w.tick(time.Second)
+	}
+	require.Zero(t, w.routers[1].hand("a").granted)
+	w.tick(time.Second)
+	w.tick(time.Second)
+	require.EqualValues(t, 300, w.routers[1].hand("a").granted)
+}
+
+func TestOneRepaymentIsInFlight(t *testing.T) {
+	w := newWorld(t, 2, testPolicy)
+	h := w.routers[1].hand("a")
+	h.addLoan(2, 100, false)
+	calls := h.due(w.now, 0)
+	require.Equal(t, []wire.RepayArgs{{Team: "a", Total: 100}}, []wire.RepayArgs{calls[0].args})
+	require.Empty(t, h.due(w.now, 0))
+	w.mute[2] = true
+	w.routers[1].repay(context.Background(), h, calls[0])
+	require.Len(t, h.due(w.now, 0), 1, "it is sent again")
+}
+
+// TestDemandOfADataCentre counts a run for the router that began it.
+func TestDemandOfADataCentre(t *testing.T) {
+	w := newWorld(t, 2, testPolicy)
+	w.topUp("x", 1000)
+	for holder := range ident.Incarnation(4) {
+		w.do(holder+1, ledger.KindDraw, ledger.Draw{Team: "a", Asked: 100})
+	}
+	for n, run := range []struct{ holder, router ident.Incarnation }{{1, 1}, {1, 3}, {3, 2}, {4, 4}} {
+		w.do(50, ledger.KindSettle, ledger.Settle{
+			Team: "a", Holder: run.holder, Router: run.router, Tokens: 1 << n,
+			Run: ident.RunID{Gate: 50, Number: uint64(n + 1)}, Key: testKey(n + 1),
+		})
+	}
+	require.EqualValues(t, 1+4, w.routers[1].roster().billedHere(w.state, "a"))
+}
--- a/internal/ledger/budget.go
+++ b/internal/ledger/budget.go
@@ -22,8 +22,9 @@
 	// admitted only if its bound fits the grant and cut off at the bound, so
 	// it stays zero unless a process breaks that rule.
 	Overrun int64
-	// Late is what settlements asked for from closed grants. It stays zero
-	// unless a Close was written without its proof.
+	// Late is what settlements asked for from closed grants, or for runs of
+	// closed gates. A side process that was cut off, sealed and abandoned by
+	// every router adds to it when it comes back; its answers reached nobody.
 	Late int64
 }
 
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -177,6 +177,18 @@
 	return grants
 }
 
+// EachGrant calls visit for the grants of a team, sorted by holder. They must
+// neither be changed nor kept.
+func (s *State) EachGrant(team ident.TeamID, visit func(*Grant)) {
+	b := s.budgets[team]
+	if b == nil {
+		return
+	}
+	for i := range b.grants {
+		visit(&b.grants[i])
+	}
+}
+
 // Teams returns the number of teams that were ever topped up.
 func (s *State) Teams() int {
 	return len(s.budgets)
--- a/internal/measure/ledgerbench/ledgerbench.go
+++ b/internal/measure/ledgerbench/ledgerbench.go
@@ -41,6 +41,7 @@
 	emit("admission.10cores.ns_per_op", many.ns, "ns")
 	emit("admission.10cores.ops_per_s", manyCores/many.ns*1e9, "per_s")
 	emit("admission.allocs_per_op", max(one.allocs, many.allocs), "count")
+	emit("admission.tick_us_per_budget", tickCost().ns/1000, "us")
 	fold := foldSettlements()
 	emit("fold.ns_per_record", fold.ns, "ns")
 	emit("fold.allocs_per_record", fold.allocs, "count")
@@ -92,20 +93,40 @@
 	}
 }
 
+// tickCost is what the controller spends each second on a budget in use, with
+// many of them.
+func tickCost() cost {
+	l := &local{state: ledger.New(0, 1), next: map[ident.Incarnation]uint64{}}
+	g := l.grants()
+	for i := range foldedBudgets {
+		id := ident.TeamID(fmt.Sprintf("team-%05d", i))
+		l.write(2, mustRecord(ledger.KindTopUp, ledger.TopUp{Team: id, ID: "1", Tokens: 1e9}))
+		r, refused := g.Try(context.Background(), id, 1e4)
+		if refused != nil {
+			panic(refused)
+		}
+		g.Settle(r, 1e3)
+	}
+	g.Tick(context.Background())
+	return timed(1, foldedBudgets, func() { g.Tick(context.Background()) })
+}
+
 // local is a ledger of one process and no peers.
 type local struct {
 	state *ledger.State
 	next  map[ident.Incarnation]uint64
 }
 
+// benchRouters is a fleet of three data centres with two routers each.
+var benchRouters = []budget.Router{
+	{Incarnation: 1}, {Incarnation: 2}, {Incarnation: 3, DataCentre: "b"},
+	{Incarnation: 4, DataCentre: "b"}, {Incarnation: 5, DataCentre: "c"}, {Incarnation: 6, DataCentre: "c"},
+}
+
 func hotBudget() *budget.Grants {
 	l := &local{state: ledger.New(0, 1), next: map[ident.Incarnation]uint64{}}
 	l.write(2, mustRecord(ledger.KindTopUp, ledger.TopUp{Team: team, ID: "1", Tokens: 1e9}))
-	g := budget.New(budget.Config{
-		Self: 1, Ledger: l, Fleet: l, Peers: l, Logger: zerolog.Nop(),
-		Policy: func(ident.TeamID) budget.Policy { return budget.Policy{Horizon: 10 * time.Minute} },
-		Launch: func(task func()) { task() },
-	})
+	g := l.grants()
 	r, refused := g.Try(context.Background(), team, 1e9)
 	if refused != nil {
 		panic(refused)
@@ -114,6 +135,14 @@
 	return g
 }
 
+func (l *local) grants() *budget.Grants {
+	return budget.New(budget.Config{
+		Self: 1, Ledger: l, Fleet: l, Peers: l, Logger: zerolog.Nop(),
+		Policy: func(ident.TeamID) budget.Policy { return budget.Policy{Horizon: 10 * time.Minute} },
+		Launch: func(task func()) { task() },
+	})
+}
+
 func (l *local) write(writer ident.Incarnation, records ...record.Record) []ledger.Verdict {
 	l.next[writer]++
 	return l.state.Apply(l.state.Offset()+1, mustBatch(writer, l.next[writer], records))
@@ -128,7 +157,7 @@
 func (l *local) View(_ ident.TeamID, read func(*ledger.State)) { read(l.state) }
 
 // Routers is budget.Fleet.
-func (l *local) Routers() []budget.Router { return []budget.Router{{Incarnation: 1}} }
+func (l *local) Routers() []budget.Router { return benchRouters }
 
 // Sealed is budget.Fleet.
 func (l *local) Sealed(ident.Incarnation) bool { return false }
