--- a/cmd/camphor-measure/main.go
+++ b/cmd/camphor-measure/main.go
@@ -15,6 +15,7 @@
 	"github.com/camphorlever/camphorlever/internal/measure/ledgerbench"
 	"github.com/camphorlever/camphorlever/internal/measure/placement"
 	"github.com/camphorlever/camphorlever/internal/measure/schedules"
+	"github.com/camphorlever/camphorlever/internal/measure/sidecost"
 )
 
 // groups lists what can be measured, in the order of the report.
@@ -26,6 +27,7 @@
 		schedules.Group,
 	},
 	placement.Groups(),
+	[]measure.Group{sidecost.Group},
 )
 
 type flags struct {
