--- a/internal/side/orders.go
+++ b/internal/side/orders.go
@@ -55,12 +55,14 @@
 	Fenced func()
 }
 
-// Run gives orders until ctx ends.
+// Run gives orders until ctx ends. An order that shows no effect in the
+// engine's report is given again only after a pause.
 func (o *Orders) Run(ctx context.Context) {
 	log := o.Logger.With().Str("part", "orders").Logger()
 	counts := counter.NewSet("orders")
+	var last engine.Order
 	for ctx.Err() == nil {
-		more, err := o.step(ctx)
+		given, err := o.step(ctx)
 		switch {
 		case errors.Is(err, engine.ErrFenced):
 			counts.Inc("fenced")
@@ -70,41 +72,45 @@
 		case err != nil:
 			counts.Inc("failed")
 			log.Warn().Err(err).Msg("order failed")
-		case more:
+		case given != last && given.Kind != "":
 			counts.Inc("given")
+			last = given
 			continue
+		case given.Kind != "":
+			counts.Inc("without_effect")
 		}
 		pauseFor(ctx, ordersInterval)
 	}
 }
 
-// step gives the next order, and reports whether it gave one.
-func (o *Orders) step(ctx context.Context) (bool, error) {
+// step gives the next order and returns it, or none if nothing is to be done.
+func (o *Orders) step(ctx context.Context) (engine.Order, error) {
+	none := engine.Order{}
 	fence := o.Fence()
 	wanted, ok := o.Settings().Servers[o.Server]
 	if fence == 0 || !ok {
-		return false, nil
+		return none, nil
 	}
 	have, err := o.Engine.Inventory(ctx)
 	if err != nil {
-		return false, err
+		return none, err
 	}
 	order, due := nextOrder(wanted, o.Settings().Models, have)
 	if !due {
-		return false, nil
+		return none, nil
 	}
 	if order.Kind == engine.LoadModel {
 		if err := o.Weights.Acquire(ctx, order.Model); err != nil {
-			return false, err
+			return none, err
 		}
 	}
 	// The wait for weights may have been long.
 	if order.Fence = o.Fence(); order.Fence == 0 {
-		return false, nil
+		return none, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	return true, o.Engine.Give(ctx, order)
+	return order, o.Engine.Give(ctx, order)
 }
 
 // nextOrder returns the first order that brings the engine closer to what is
--- a/internal/side/orders_test.go
+++ b/internal/side/orders_test.go
@@ -202,3 +202,22 @@
 		}
 	}
 }
+
+// deafTaker takes every order without an effect.
+type deafTaker struct{ given int }
+
+func (d *deafTaker) Inventory(context.Context) (engine.Inventory, error) {
+	return engine.Inventory{}, nil
+}
+func (d *deafTaker) Give(context.Context, engine.Order) error { d.given++; return nil }
+
+func TestOrderWithoutEffectIsNotRepeatedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, stop := newOrderBench(t, false)
+		defer stop()
+		taker := &deafTaker{}
+		b.Engine = taker
+		b.runFor(10 * ordersInterval)
+		require.InDelta(t, 11, taker.given, 1)
+	})
+}
--- a/internal/side/process_test.go
+++ b/internal/side/process_test.go
@@ -118,6 +118,9 @@
 
 func TestLeavingIsFollowed(t *testing.T) {
 	causes := map[string]func(w *world){
+		"settings": func(w *world) {
+			w.change("servers/s", "")
+		},
 		"VM list": func(w *world) { w.vms.Put(vmlist.VM{ID: "vm-s", DataCentre: "dc", State: vmlist.Leaving}) },
 		"order": func(w *world) {
 			var reply wire.LeaveReply
@@ -128,6 +131,9 @@
 	for name, cause := range causes {
 		t.Run(name, func(t *testing.T) {
 			inWorld(t, func(t *testing.T, w *world) {
+				w.change("servers/s", `{"vm":"vm-s","data_centre":"dc","models":["m"]}`)
+				time.Sleep(2 * leavingInterval)
+				require.False(t, w.process.gate.Leaving())
 				_, a := w.begin(w.request("k", 5))
 				cause(w)
 				w.eventually(3*time.Second, "gate leaves", w.process.gate.Leaving)
@@ -140,3 +146,22 @@
 		})
 	}
 }
+
+// A process whose own life was sealed starts nothing more, lets its runs end
+// and asks to be started anew.
+func TestSealedProcessEnds(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		_, a := w.begin(w.request("k", 5))
+		r, err := record.New(fleet.KindSeal, fleet.Seal{Incarnation: w.process.gate.Incarnation(), Reason: "test"})
+		require.NoError(t, err)
+		_, err = w.router.SubmitFleet(t.Context(), r)
+		require.NoError(t, err)
+		synctest.Wait()
+		outcome, _ := w.begin(w.request("other", 5))
+		require.Equal(t, wire.BeginLeaving, outcome)
+		events, last, _ := a.rest()
+		require.Equal(t, 6, events)
+		require.Equal(t, wire.FrameEnd, last.Kind)
+		require.ErrorIs(t, <-w.ended, ErrSealed)
+	})
+}
--- a/internal/side/world_test.go
+++ b/internal/side/world_test.go
@@ -25,6 +25,7 @@
 	"github.com/camphorlever/camphorlever/internal/node"
 	"github.com/camphorlever/camphorlever/internal/record"
 	"github.com/camphorlever/camphorlever/internal/rpc"
+	"github.com/camphorlever/camphorlever/internal/settings"
 	"github.com/camphorlever/camphorlever/internal/vmlist"
 	"github.com/camphorlever/camphorlever/internal/wire"
 )
@@ -153,6 +154,17 @@
 	require.NoError(w.t, err)
 }
 
+// change replaces a subtree of the settings; an empty value removes it.
+func (w *world) change(path settings.Path, value string) {
+	base := ident.NoOffset
+	w.router.ViewSettings(func(s *settings.State) { base = s.Subtree(path).Version })
+	r, err := record.New(settings.KindChange, settings.Change{ID: ident.NewNonce().String(), Path: path, Base: base, Author: settings.Bootstrap, Value: []byte(value)})
+	require.NoError(w.t, err)
+	verdicts, err := w.router.SubmitSettings(w.t.Context(), r)
+	require.NoError(w.t, err)
+	require.Equal(w.t, settings.Accepted, verdicts[0].Outcome, verdicts[0])
+}
+
 // billed returns the tokens that the router's fold has billed to the team.
 func (w *world) billed() (billed int64) {
 	w.router.Ledger().View(team, func(s *ledger.State) { billed = s.Budget(team).Billed })
