--- a/internal/measure/placement/server.go
+++ b/internal/measure/placement/server.go
@@ -27,13 +27,14 @@
 type server struct {
 	clock   *clock
 	slow    time.Duration
-	cache   *simplelru.LRU[uint64, struct{}]
+	cache   *simplelru.LRU[uint64, time.Duration] // when the block was stored
 	waiting []*run
 	running int
 	prefill time.Duration // busy until
 	loads   []sample      // newest last
 	caches  []cacheSample
 	epoch   uint64
+	gap     time.Duration // events before it are lost
 	leaving bool
 }
 
@@ -46,6 +47,7 @@
 type cacheSample struct {
 	at     time.Duration
 	blocks []uint64
+	stored []time.Duration
 }
 
 // run is one request at a server.
@@ -58,7 +60,7 @@
 }
 
 func newServer(c *clock, slow time.Duration) *server {
-	cache, err := simplelru.NewLRU[uint64, struct{}](cacheBlocks, nil)
+	cache, err := simplelru.NewLRU[uint64, time.Duration](cacheBlocks, nil)
 	if err != nil {
 		panic(err) // the size is not positive
 	}
@@ -85,7 +87,9 @@
 		r.hits++
 	}
 	for _, b := range slices.Backward(r.blocks) {
-		s.cache.Add(b, struct{}{})
+		if _, ok := s.cache.Get(b); !ok {
+			s.cache.Add(b, s.clock.now)
+		}
 	}
 	work := time.Duration(len(r.blocks)-r.hits+1) * blockTime * s.slow
 	s.prefill = max(s.prefill, s.clock.now) + work
@@ -113,14 +117,15 @@
 
 // noteCache keeps the cache's content for late reports.
 func (s *server) noteCache() {
-	s.caches = append(s.caches, cacheSample{at: s.clock.now, blocks: s.cache.Keys()})
+	s.caches = append(s.caches, cacheSample{at: s.clock.now, blocks: s.cache.Keys(), stored: s.cache.Values()})
 	for len(s.caches) > 2 && s.caches[1].at <= s.clock.now-cacheLag {
 		s.caches = s.caches[1:]
 	}
 }
 
 // report tells the load and the cache as they were a while ago. Some reports
-// start a new epoch, as after lost events.
+// start a new epoch, as after lost events: they tell only what was stored
+// since.
 func (s *server) report(r *rand.Rand) *placement.Report {
 	report := &placement.Report{Slots: serverSlots, Leaving: s.leaving}
 	for _, l := range s.loads {
@@ -130,10 +135,16 @@
 	}
 	if r.Float64() < gapRatio {
 		s.epoch++
+		s.gap = s.clock.now - cacheLag
 	}
 	report.CacheEpoch = s.epoch
-	if len(s.caches) > 0 && s.caches[0].at <= s.clock.now-cacheLag {
-		report.Cache = s.caches[0].blocks
+	if len(s.caches) == 0 || s.caches[0].at > s.clock.now-cacheLag {
+		return report
+	}
+	for i, b := range s.caches[0].blocks {
+		if s.caches[0].stored[i] >= s.gap {
+			report.Cache = append(report.Cache, b)
+		}
 	}
 	return report
 }
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -11,9 +11,9 @@
 // there itself, corrected by the engine's late events. Not safe for
 // concurrent use.
 type cache struct {
-	blocks *simplelru.LRU[uint64, int64] // when the block was last placed or told, Unix ns
+	blocks *simplelru.LRU[uint64, int64] // when this router last placed it there, Unix ns; 0: only told
 	epoch  uint64
-	told   bool // the engine tells of its cache
+	told   map[uint64]struct{} // the last view of this epoch
 }
 
 func newCache(capacity int) *cache {
@@ -38,30 +38,36 @@
 	}
 }
 
-// correct takes in what the engine told. Blocks placed within the lag are
-// kept, since the engine's events may not tell of them yet.
+// correct takes in a view of what the engine told in an epoch. What a view
+// had and the next one of the same epoch lacks was removed, unless it was
+// placed again within the lag. A new epoch says nothing of what was stored
+// before it: that stays until it is forgotten as the oldest, since a wrong
+// guess costs one prefill and a forgotten prefix costs one per server.
 func (c *cache) correct(epoch uint64, entries []uint64, now time.Time, lag time.Duration) {
-	if epoch == 0 && len(entries) == 0 && !c.told {
-		return
-	}
-	// An engine that lost events starts a new epoch with what it holds now, so
-	// the same rule covers both: what is old and not told again is gone.
-	c.told = true
-	c.epoch = epoch
 	known := make(map[uint64]struct{}, len(entries))
-	for _, e := range entries {
-		known[e] = struct{}{}
+	for _, block := range entries {
+		known[block] = struct{}{}
 	}
 	old := now.Add(-lag).UnixNano()
-	for _, block := range c.blocks.Keys() {
-		at, _ := c.blocks.Peek(block)
-		if _, ok := known[block]; !ok && at < old {
-			c.blocks.Remove(block)
+	if epoch == c.epoch {
+		c.dropRemoved(known, old)
+	}
+	for _, block := range entries {
+		if !c.blocks.Contains(block) {
+			c.blocks.Add(block, 0)
 		}
 	}
-	for _, e := range entries {
-		if !c.blocks.Contains(e) {
-			c.blocks.Add(e, old)
+	c.epoch, c.told = epoch, known
+}
+
+// dropRemoved forgets what the last view had and the newest lacks.
+func (c *cache) dropRemoved(known map[uint64]struct{}, old int64) {
+	for block := range c.told {
+		if _, ok := known[block]; ok {
+			continue
+		}
+		if placed, ok := c.blocks.Peek(block); ok && placed < old {
+			c.blocks.Remove(block)
 		}
 	}
 }
--- a/internal/placement/node.go
+++ b/internal/placement/node.go
@@ -15,6 +15,7 @@
 	slowRatio    = 2.0              // against the median, from which on it counts
 	maxSlow      = 16.0             // of the factor
 	slowMemory   = 20 * time.Second // after which half of the slowness is forgotten
+	paceExpiry   = 2 * time.Minute  // after which all of it is
 	suspectAfter = 3 * time.Second  // how long a failed server is avoided
 )
 
@@ -78,9 +79,9 @@
 		depth: n.cache.depth(q.Blocks),
 		pace:  1,
 	}
-	if n.samples >= minSamples {
+	if age := now.Sub(n.sampled); n.samples >= minSamples && age < paceExpiry {
 		v.pace = n.pace
-		v.fresh = 1 / (1 + float64(now.Sub(n.sampled))/float64(slowMemory))
+		v.fresh = 1 / (1 + float64(age)/float64(slowMemory))
 	}
 	return v, true
 }
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -91,7 +91,7 @@
 	defaultSubset      = 32
 	defaultReportLag   = 500 * time.Millisecond
 	defaultCacheLag    = 2 * time.Second
-	defaultCacheBlocks = 8192
+	defaultCacheBlocks = 4096
 	defaultSlots       = 8
 )
 
