--- a/internal/budget/drain.go
+++ b/internal/budget/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -10,79 +9,69 @@
 	"github.com/camphorlever/camphorlever/internal/ledger"
 )
 
-// drainPoll is how often Drain looks whether more has come back.
-const drainPoll = 100 * time.Millisecond
+// drainPause is the time between two rounds of Drain.
+const drainPause = 200 * time.Millisecond
 
-// Drain gives back all that is in hand, for a graceful stop: loans to their
-// lenders, the own grant to the ledger. It admits, draws and lends nothing any
-// more, and waits for tokens that are reserved or lent. If it fails, tokens of
-// this life may still be in use somewhere: the process must not deregister.
+// Drain ends this router's part in the budgets before it deregisters: it
+// admits and lends nothing any more, repays its loans and returns what is free
+// of its grants. It fails when ctx ends with tokens still reserved, lent or
+// unconfirmed; the process must then not deregister, since runs may still
+// start under its grants, and is left to be sealed.
 func (g *Grants) Drain(ctx context.Context) error {
 	g.fenced.Store(true)
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
 	for {
-		open := int64(0)
-		for _, h := range g.hands() {
-			g.sync(h)
-			g.reclaim(h)
-			g.repayNow(ctx, h)
-			g.giveBack(h, math.MaxInt64)
-			open += h.open() + g.lentOut(h)
-		}
+		open := g.drainRound(ctx)
 		if open == 0 {
 			return nil
 		}
+		timer := time.NewTimer(drainPause)
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "%d tokens are not back", open)
+			timer.Stop()
+			return errors.Wrapf(ctx.Err(), "%d tokens are still reserved, lent or on their way", open)
 		}
 	}
 }
 
-// repayNow repays loans as if they had been idle for long.
-func (g *Grants) repayNow(ctx context.Context, h *hand) {
-	h.mu.Lock()
-	for _, s := range h.loans {
-		s.used = false
-		s.idle = time.Unix(1, 0)
+// drainRound gives back what it can and returns the tokens that remain.
+func (g *Grants) drainRound(ctx context.Context) int64 {
+	var open int64
+	for _, h := range g.hands() {
+		g.sync(h)
+		g.resolve(h)
+		g.reclaim(h)
+		g.repayIdle(ctx, h, g.config.Now(), 0)
+		g.giveBack(h, g.freeOf(h))
+		open += g.openTokens(h)
 	}
-	h.mu.Unlock()
-	g.repayIdle(ctx, h, g.config.Now())
+	return open
 }
 
-// open returns the tokens that are not back yet: in hand, reserved, on
-// the way to the ledger, or being drawn.
-func (h *hand) open() int64 {
+func (g *Grants) freeOf(h *hand) int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.own.free
+}
+
+// openTokens counts what others may still use of the own grant, what is
+// reserved, and loans that the lender does not know to be repaid.
+func (g *Grants) openTokens(h *hand) int64 {
+	var grant ledger.Grant
+	g.config.Ledger.View(h.team, func(s *ledger.State) { grant = s.Grant(h.team, g.config.Self) })
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	open := h.own.free + h.own.reserved
+	for borrower, entry := range h.lent {
+		open += max(entry.tokens-entry.repaid-grant.BilledBy(borrower), 0)
+	}
 	for _, s := range h.loans {
 		if !s.revoked {
 			open += s.free + s.reserved + s.repaid - s.repaidOK
 		}
 	}
 	if h.giving || h.draw != nil {
-		open++
+		open++ // on its way to or from the ledger
 	}
 	return open
 }
-
-// lentOut returns the tokens of the own grant that borrowers still have: they
-// have neither repaid them nor are they billed.
-func (g *Grants) lentOut(h *hand) int64 {
-	out := int64(0)
-	for _, borrower := range h.borrowers() {
-		var billed int64
-		g.config.Ledger.View(h.team, func(s *ledger.State) {
-			billed = s.Grant(h.team, g.config.Self).BilledBy(borrower)
-		})
-		h.mu.Lock()
-		if entry := h.lent[borrower]; entry != nil {
-			out += max(0, entry.tokens-entry.repaid-billed)
-		}
-		h.mu.Unlock()
-	}
-	return out
-}
