--- a/internal/fleet/reclaim.go
+++ b/internal/fleet/reclaim.go
@@ -50,6 +50,7 @@
 		return Repeated
 	}
 	m.acked[writer] = struct{}{}
+	m.ackedIn = append(m.ackedIn, writer)
 	s.decide(m)
 	return Accepted
 }
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -102,6 +102,7 @@
 	}
 	for _, incarnation := range image.Acked {
 		m.acked[incarnation] = struct{}{}
+		m.ackedIn = append(m.ackedIn, incarnation)
 	}
 	return m
 }
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -59,6 +59,7 @@
 	sealedAt  ident.Offset
 	destroyed bool
 	acked     map[ident.Incarnation]struct{} // who deals with it no more
+	ackedIn   []ident.Incarnation            // the same, in order; only ever appended to, views share it
 }
 
 // New returns the state before the first record.
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -21,7 +21,12 @@
 	Member
 	At        ident.Offset // of the seal
 	Destroyed bool
-	AckedBy   map[ident.Incarnation]struct{}
+	acked     []ident.Incarnation
+}
+
+// AckedBy reports whether a process has acknowledged the seal.
+func (s Sealed) AckedBy(by ident.Incarnation) bool {
+	return slices.Contains(s.acked, by)
 }
 
 // View returns the membership now.
@@ -42,11 +47,7 @@
 }
 
 func (m *member) pending() Sealed {
-	acked := make(map[ident.Incarnation]struct{}, len(m.acked))
-	for incarnation := range m.acked {
-		acked[incarnation] = struct{}{}
-	}
-	return Sealed{Member: m.Member, At: m.sealedAt, Destroyed: m.destroyed, AckedBy: acked}
+	return Sealed{Member: m.Member, At: m.sealedAt, Destroyed: m.destroyed, acked: m.ackedIn}
 }
 
 func (s *State) sorted() []*member {
--- a/internal/node/acknowledge.go
+++ b/internal/node/acknowledge.go
@@ -63,7 +63,7 @@
 	own := a.node.Incarnation()
 	var owed []ident.Incarnation
 	for _, sealed := range a.node.Members().Pending {
-		_, acked := sealed.AckedBy[own]
+		acked := sealed.AckedBy(own)
 		_, busy := a.busy[sealed.Incarnation]
 		mine := sealed.Registration.Role != a.node.options.Role && ident.Offset(own)-1 < sealed.At
 		if mine && !acked && !busy {
--- a/internal/side/process_test.go
+++ b/internal/side/process_test.go
@@ -90,7 +90,7 @@
 		require.NoError(t, err)
 		acknowledged := func() bool {
 			for _, sealed := range w.process.node.Members().Pending {
-				_, ok := sealed.AckedBy[side]
+				ok := sealed.AckedBy(side)
 				return ok
 			}
 			return true // decided and forgotten
