Node: a VM list without the reader's own VM seals nobody

An empty or cut list with a good status would have sealed the whole fleet, and with vm_list_fences declared it destroyed. Seen failing without the check.

--- a/internal/node/reclaim_test.go
+++ b/internal/node/reclaim_test.go
@@ -123,7 +123,8 @@
 	})
 }
 
-// A VM list that cannot be read, or is empty for a moment, seals nobody.
+// A VM list that cannot be read, lacks a VM for a moment, or lacks the reader's
+// own VM, seals nobody.
 func TestAnUnavailableVMListSealsNobody(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		r1 := w.start(fleet.RoleRouter, "r1")
@@ -136,6 +137,9 @@
 		time.Sleep(goneAfter / 2)
 		w.vms.Put(vmlist.VM{ID: "vm-s1", State: vmlist.Live})
 		time.Sleep(20 * time.Minute)
+		w.vms.Delete("vm-s1")
+		w.vms.Delete("vm-r1")
+		time.Sleep(time.Hour)
 		require.True(t, r1.Members().Live(s1.Incarnation()))
 		require.NoError(t, s1.Ready())
 	})
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -130,7 +130,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	since, missing := w.missing[vm]
-	if !missing {
+	if !missing || !w.trusted() {
 		return false
 	}
 	patience := neverListed
@@ -140,6 +140,14 @@
 	return w.snapshot.AsOf.Sub(since) >= patience
 }
 
+// trusted reports whether the list names the process's own VM. A list that
+// does not may be empty or cut short by a fault; then this process seals
+// nobody for it, and leaves it to others to judge its own VM.
+func (w *vmWatch) trusted() bool {
+	_, listed := w.snapshot.Find(w.node.options.VM)
+	return listed
+}
+
 // leaving reports whether the list names a VM as leaving.
 func (w *vmWatch) leaving(id ident.VMID) bool {
 	w.mu.Lock()
