--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -88,6 +88,9 @@
 	f.audited(keys...)
 }
 
+// outageWait bounds a request whose tokens are in the routers' hands.
+const outageWait = 5 * time.Second
+
 func TestLogIsDownWhileServing(t *testing.T) {
 	f := newFleet(t, 2, time.Millisecond)
 	f.faults(f.platform, `{"log":"down"}`)
@@ -98,6 +101,7 @@
 		began := time.Now()
 		require.Empty(t, f.chat(i%2, key, key, i%3 == 0))
 		f.step(began, "request in the outage")
+		require.Less(t, time.Since(began), outageWait, "the request waited though tokens for it were in hand")
 	}
 	began := time.Now()
 	refused := f.order(0, "order-in-outage")
--- a/test/e2e/fleet_test.go
+++ b/test/e2e/fleet_test.go
@@ -59,6 +59,7 @@
 	models   []*node
 	desks    []*node
 	changes  uint64 // settings changes so far
+	topUps   uint64
 }
 
 // fleetsAtOnce bounds the fleets that run at the same time.
@@ -69,6 +70,12 @@
 // newFleet starts a platform, two routers, some model workers and one order
 // desk, and returns once every router serves both.
 func newFleet(t *testing.T, models int, tokenTime time.Duration) *fleet {
+	t.Helper()
+	return newFleetWith(t, models, tokenTime, topUp)
+}
+
+// newFleetWith does the same with a budget of some tokens.
+func newFleetWith(t *testing.T, models int, tokenTime time.Duration, tokens int64) *fleet {
 	t.Helper()
 	t.Parallel()
 	fleets <- struct{}{}
@@ -81,6 +88,7 @@
 	f.log = logservice.NewHTTP(f.platform, nil)
 	f.await(func() bool { return f.call(http.MethodGet, f.platform+"/stats", nil) == http.StatusOK })
 	f.seed(models)
+	f.topUp(tokens)
 	for i := range 2 {
 		f.routers = append(f.routers, f.router(fmt.Sprintf("router-%d", i)))
 	}
@@ -160,9 +168,15 @@
 		f.change("servers/"+settings.Path(id), settings.Server{VM: vmOf(id), DataCentre: "waco", Models: []ident.ModelID{model}, Slots: 16})
 	}
 	f.change("servers/desk-0", settings.Server{VM: vmOf("desk-0"), DataCentre: "waco", Services: []ident.ServiceID{desk}, Slots: 16})
-	rec, err := record.New(ledger.KindTopUp, ledger.TopUp{Team: team, ID: "first", Tokens: topUp, Author: settings.Bootstrap})
+}
+
+// topUp adds tokens to the budget.
+func (f *fleet) topUp(tokens int64) {
+	f.topUps++
+	top := ledger.TopUp{Team: team, ID: fmt.Sprint(f.topUps), Tokens: tokens, Author: settings.Bootstrap}
+	rec, err := record.New(ledger.KindTopUp, top)
 	require.NoError(f.t, err)
-	f.append(ledger.StreamOf(ledger.ShardOf(team, shards)), rec, 1)
+	f.append(ledger.StreamOf(ledger.ShardOf(team, shards)), rec, f.topUps)
 }
 
 func (f *fleet) change(path settings.Path, value any) {
