--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -16,8 +16,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// router is an administration interface of which only the outside is real.
-type router struct {
+// fakeRouter is an administration interface of which only the outside is real.
+type fakeRouter struct {
 	mu     sync.Mutex // guards all fields
 	topUps map[string]TopUp
 	trees  map[string]Subtree
@@ -28,7 +28,7 @@
 	calls  int
 }
 
-func (f *router) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (f *fakeRouter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
@@ -48,7 +48,7 @@
 	answer(w, status, reply)
 }
 
-func (f *router) serve(r *http.Request) (int, string) {
+func (f *fakeRouter) serve(r *http.Request) (int, string) {
 	path := strings.TrimPrefix(r.URL.Path, apiRoot)
 	tree, isTree := strings.CutPrefix(path, "settings/")
 	switch {
@@ -73,7 +73,7 @@
 	return 200, `{"members":[{"vm":"a","leaving":false},{"vm":"b","addr":"x"}],"in_force":{"n":2,"m":2}}`
 }
 
-func (f *router) change(path string, r *http.Request) (int, string) {
+func (f *fakeRouter) change(path string, r *http.Request) (int, string) {
 	var c Change
 	_ = json.NewDecoder(r.Body).Decode(&c)
 	s, ok := f.trees[path]
@@ -123,15 +123,15 @@
 	return stdout.String(), stderr.String(), err
 }
 
-func fixture(t *testing.T) (*router, string) {
-	f := &router{topUps: map[string]TopUp{}, trees: map[string]Subtree{}}
+func fixture(t *testing.T) (*fakeRouter, string) {
+	f := &fakeRouter{topUps: map[string]TopUp{}, trees: map[string]Subtree{}}
 	server := httptest.NewServer(f)
 	t.Cleanup(server.Close)
 	return f, server.URL
 }
 
 // see reads the router's state.
-func see[T any](f *router, read func() T) T {
+func see[T any](f *fakeRouter, read func() T) T {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return read()
@@ -140,15 +140,15 @@
 func TestTopUpUnderFaults(t *testing.T) {
 	for _, c := range []struct {
 		name   string
-		fault  func(f *router)
+		fault  func(f *fakeRouter)
 		status int // exit status, 0 for success
 		effect int // top-ups in force
 		stderr string
 	}{
-		{"none", func(*router) {}, 0, 1, ""},
-		{"reply lost twice", func(f *router) { f.lose = 2 }, 0, 1, "outcome unknown"},
-		{"every reply lost", func(f *router) { f.lose = 1000 }, ExitUnknown, 1, "outcome unknown"},
-		{"down", func(f *router) { f.down = true }, ExitUnknown, 0, "not_ready"},
+		{"none", func(*fakeRouter) {}, 0, 1, ""},
+		{"reply lost twice", func(f *fakeRouter) { f.lose = 2 }, 0, 1, "outcome unknown"},
+		{"every reply lost", func(f *fakeRouter) { f.lose = 1000 }, ExitUnknown, 1, "outcome unknown"},
+		{"down", func(f *fakeRouter) { f.down = true }, ExitUnknown, 0, "not_ready"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f, url := fixture(t)
