Admission counts the prompt near the limit; held runs are resolved by the budget

A request in a log outage waited 10 s for tokens under its loose bound before the prompt was counted; now the budget says beforehand whether to count.

--- a/internal/filter/admit/handler.go
+++ b/internal/filter/admit/handler.go
@@ -30,18 +30,11 @@
 	return next(ctx, r)
 }
 
-// acquire tries the bound, and the exact count if the bound is refused.
 func (h *handler) acquire(ctx context.Context, r *filter.Request) (filter.Reservation, *refusal.Refusal) {
-	reservation, refused := h.budget.Acquire(ctx, r.Caller.Team, r.Bound())
-	if refused == nil || r.Route.Service != "" || refused.Ran != refusal.NotRun {
-		return reservation, refused
+	if r.Route.Service == "" {
+		count := func(ctx context.Context) (int64, error) { return h.tokenizer.Count(ctx, r) }
+		r.PromptBound = h.budget.Bound(ctx, r.Caller.Team, r.PromptBound, r.MaxOutput, count) - r.MaxOutput
 	}
-	exact, ok := h.tokenizer.Count(ctx, r)
-	if !ok || exact >= r.PromptBound {
-		return nil, refused
-	}
-	h.counters.Inc("counted")
-	r.PromptBound = exact
 	return h.budget.Acquire(ctx, r.Caller.Team, r.Bound())
 }
 
@@ -54,7 +47,7 @@
 	reservation := r.Reservation
 	r.Reservation = nil
 	if p := recover(); p != nil {
-		reservation.Hold()
+		reservation.Hold(r.Key, r.Target.Gate)
 		panic(p)
 	}
 	reservation.Settle(0)
--- a/internal/filter/admit/setup.go
+++ b/internal/filter/admit/setup.go
@@ -11,14 +11,16 @@
 
 // Budget hands out reservations of grants.
 type Budget interface {
+	// Bound returns the most tokens that a run can use. Near the limit it
+	// counts the prompt instead of taking the loose bound.
+	Bound(ctx context.Context, team ident.TeamID, loose, output int64, count func(context.Context) (int64, error)) int64
 	// Acquire reserves tokens of the team, drawing or borrowing if needed.
 	Acquire(ctx context.Context, team ident.TeamID, tokens int64) (filter.Reservation, *refusal.Refusal)
 }
 
 // Tokenizer counts the tokens of a prompt exactly.
 type Tokenizer interface {
-	// Count returns false if no side process could tell.
-	Count(ctx context.Context, r *filter.Request) (int64, bool)
+	Count(ctx context.Context, r *filter.Request) (int64, error)
 }
 
 // New returns the filter. It stands in the chain once before the queue, so
--- a/internal/filter/request.go
+++ b/internal/filter/request.go
@@ -131,5 +131,7 @@
 type Reservation interface {
 	Holder() ident.Incarnation // of the grant that pays
 	Settle(actual int64)       // frees what was not used
-	Hold()                     // the outcome is unknown: all of it stays reserved
+	// Hold leaves all of it reserved until it is known what the key's run at
+	// the gate has used.
+	Hold(key ident.Key, gate ident.Incarnation)
 }
--- a/internal/filter/stream/begin.go
+++ b/internal/filter/stream/begin.go
@@ -250,7 +250,7 @@
 }
 
 func (a *attempt) hold() {
-	a.Witness.Held(a.copied, a.r.Reservation)
+	a.r.Reservation.Hold(a.copied.Key, a.copied.Gate)
 	a.r.Reservation = nil
 }
 
--- a/internal/filter/stream/setup.go
+++ b/internal/filter/stream/setup.go
@@ -49,8 +49,6 @@
 	NotStarted(c Copy)
 	// Finish adds the final usage of the run.
 	Finish(c Copy, run ident.RunID, usage wire.Usage)
-	// Held takes over the reservation of a run whose outcome is unknown.
-	Held(c Copy, r filter.Reservation)
 }
 
 // Self tells what the router is.
--- a/internal/filter/stream/stream_test.go
+++ b/internal/filter/stream/stream_test.go
@@ -97,10 +97,9 @@
 func (w *world) Offsets() wire.Offsets                { return wire.Offsets{Settings: 1, Fleet: 2} }
 func (w *world) Holder() ident.Incarnation            { return 3 }
 func (w *world) Settle(actual int64)                  { w.settled = append(w.settled, actual) }
-func (w *world) Hold()                                {}
-func (w *world) Held(c Copy, _ filter.Reservation) {
+func (w *world) Hold(_ ident.Key, gate ident.Incarnation) {
 	w.held++
-	require.Equal(w.t, ident.Incarnation(7), c.Gate)
+	require.Equal(w.t, ident.Incarnation(7), gate)
 }
 
 var usage = wire.Usage{Prompt: 4, Output: 2}
--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -18,6 +18,11 @@
 	self   ident.Incarnation
 }
 
+// Bound implements admit.Budget.
+func (a *admission) Bound(ctx context.Context, team ident.TeamID, loose, output int64, count func(context.Context) (int64, error)) int64 {
+	return a.grants.Bound(ctx, team, loose, output, count)
+}
+
 // Acquire implements admit.Budget. A call that costs nothing needs no grant.
 func (a *admission) Acquire(ctx context.Context, team ident.TeamID, tokens int64) (filter.Reservation, *refusal.Refusal) {
 	if tokens == 0 {
@@ -35,17 +40,24 @@
 	grants *budget.Grants
 }
 
-func (r *reservation) Settle(actual int64) { r.grants.Settle(r.Reservation, actual) }
-func (r *reservation) Hold()               { r.grants.Hold(r.Reservation) }
+// Settle implements filter.Reservation.
+func (r *reservation) Settle(actual int64) {
+	r.grants.Settle(r.Reservation, actual)
+}
+
+// Hold implements filter.Reservation.
+func (r *reservation) Hold(key ident.Key, gate ident.Incarnation) {
+	r.grants.HoldRun(r.Reservation, key, gate)
+}
 
 // freeOfCharge reserves nothing.
 type freeOfCharge struct {
 	holder ident.Incarnation
 }
 
-func (f freeOfCharge) Holder() ident.Incarnation { return f.holder }
-func (freeOfCharge) Settle(int64)                {}
-func (freeOfCharge) Hold()                       {}
+func (f freeOfCharge) Holder() ident.Incarnation       { return f.holder }
+func (freeOfCharge) Settle(int64)                      {}
+func (freeOfCharge) Hold(ident.Key, ident.Incarnation) {}
 
 // budgetFleet tells the budget of the other routers.
 type budgetFleet struct {
--- a/internal/router/gates.go
+++ b/internal/router/gates.go
@@ -19,7 +19,7 @@
 const (
 	sealAttempts = 3
 	sealTimeout  = 2 * time.Second // of each attempt
-	countTimeout = 2 * time.Second
+	countTimeout = 500 * time.Millisecond
 	loadTimeout  = 800 * time.Millisecond
 )
 
@@ -117,14 +117,16 @@
 	placer *placer
 }
 
-// Count returns false if none of them answers.
-func (t *tokenizer) Count(ctx context.Context, r *filter.Request) (int64, bool) {
+// Count fails if none of them answers.
+func (t *tokenizer) Count(ctx context.Context, r *filter.Request) (int64, error) {
+	err := errors.New("no server to ask")
 	for _, home := range t.placer.Homes(r) {
-		if tokens, err := t.gates.count(ctx, home, r); err == nil && tokens > 0 {
-			return tokens, true
+		var tokens int64
+		if tokens, err = t.gates.count(ctx, home, r); err == nil {
+			return tokens, nil
 		}
 	}
-	return 0, false
+	return 0, err
 }
 
 // report turns a side process's reply into what the placement reads.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -92,12 +92,12 @@
 		dial:    r.dial(node.ServiceRouter),
 		callers: map[string]rpc.Caller{},
 	}
-	r.witness = newWitness(settlement.Config{
+	r.witness = &witness{tracker: settlement.New(settlement.Config{
 		Ledger: r.node.Ledger(),
 		Self:   r.node.Incarnation,
 		Sealed: func(life ident.Incarnation) bool { return r.node.Members().Sealed(life) },
 		Logger: logger,
-	})
+	})}
 	r.node.AddWitness(r.witness.tracker)
 	return r
 }
