--- a/internal/filter/admit/handler.go
+++ b/internal/filter/admit/handler.go
@@ -30,14 +30,30 @@
 	return next(ctx, r)
 }
 
+// acquire tries the bound, and if the budget does not cover it, the exact
+// count. Only the smallest bound is worth waiting for.
 func (h *handler) acquire(ctx context.Context, r *filter.Request) (filter.Reservation, *refusal.Refusal) {
-	if r.Route.Service == "" {
-		count := func(ctx context.Context) (int64, error) { return h.tokenizer.Count(ctx, r) }
-		r.PromptBound = h.budget.Bound(ctx, r.Caller.Team, r.PromptBound, r.MaxOutput, count) - r.MaxOutput
+	reservation, refused := h.budget.Try(ctx, r.Caller.Team, r.Bound())
+	if refused == nil || refused.Ran != refusal.NotRun {
+		return reservation, refused
 	}
+	h.tighten(ctx, r)
 	return h.budget.Acquire(ctx, r.Caller.Team, r.Bound())
 }
 
+// tighten replaces the bound of a prompt by its exact count, if it can be had.
+func (h *handler) tighten(ctx context.Context, r *filter.Request) {
+	if r.Route.Service != "" {
+		return
+	}
+	exact, ok := h.tokenizer.Count(ctx, r)
+	if !ok || exact >= r.PromptBound {
+		return
+	}
+	h.counters.Inc("counted")
+	r.PromptBound = exact
+}
+
 // release runs when the rest of the chain is over, also after a panic. A
 // panic leaves the reservation held, since a run may have begun.
 func (h *handler) release(r *filter.Request) {
--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -18,11 +18,6 @@
 	self   ident.Incarnation
 }
 
-// Bound implements admit.Budget.
-func (a *admission) Bound(ctx context.Context, team ident.TeamID, loose, output int64, count func(context.Context) (int64, error)) int64 {
-	return a.grants.Bound(ctx, team, loose, output, count)
-}
-
 // Acquire implements admit.Budget. A call that costs nothing needs no grant.
 func (a *admission) Acquire(ctx context.Context, team ident.TeamID, tokens int64) (filter.Reservation, *refusal.Refusal) {
 	if tokens == 0 {
--- a/internal/router/gates.go
+++ b/internal/router/gates.go
@@ -117,16 +117,14 @@
 	placer *placer
 }
 
-// Count fails if none of them answers.
-func (t *tokenizer) Count(ctx context.Context, r *filter.Request) (int64, error) {
-	err := errors.New("no server to ask")
+// Count returns false if none of them answers.
+func (t *tokenizer) Count(ctx context.Context, r *filter.Request) (int64, bool) {
 	for _, home := range t.placer.Homes(r) {
-		var tokens int64
-		if tokens, err = t.gates.count(ctx, home, r); err == nil {
-			return tokens, nil
+		if tokens, err := t.gates.count(ctx, home, r); err == nil && tokens > 0 {
+			return tokens, true
 		}
 	}
-	return 0, err
+	return 0, false
 }
 
 // report turns a side process's reply into what the placement reads.
