--- a/internal/router/gates.go
+++ b/internal/router/gates.go
@@ -19,7 +19,7 @@
 const (
 	sealAttempts = 3
 	sealTimeout  = 2 * time.Second // of each attempt
-	countTimeout = 2 * time.Second
+	countTimeout = 500 * time.Millisecond
 	loadTimeout  = 800 * time.Millisecond
 )
 
