--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -11,6 +11,8 @@
 UNCLEAN=0
 CHECKS_FENCES=false
 readonly IDLE_SECONDS=5
+readonly SETTLE_SECONDS=4 # for new processes to register and connect
+readonly SCALE_SECONDS=15
 
 cleanup() {
 	local status=$?
@@ -61,7 +63,8 @@
 prepare() {
 	mkdir -p "$WORK"
 	: >"$WORK/pids"
-	BASE=$(pick_ports "$FLEET_PORTS")
+	pick_ports "$FLEET_PORTS"
+	BASE=$BASE_PORT
 	FLEET_KEY=$(secret)
 	OPERATOR_KEY=$(secret)
 	OPERATOR_HASH=$(printf %s "$OPERATOR_KEY" | sha256sum | cut -d' ' -f1)
@@ -117,9 +120,46 @@
 	emit side.rss_loaded "$(rss measure-side-1)" MB
 }
 
+# lo_bytes: bytes sent over loopback so far.
+lo_bytes() {
+	awk '$1 == "lo:" {print $10}' /proc/net/dev
+}
+
+# add_side NUMBER: a further side process, before the same engine.
+add_side() {
+	local port=$((BASE + 52 + $1)) id=server-$1
+	add_vm "vm-$1" waco
+	write_side "$WORK/side-$1.json" "vm-$1" waco "$id" "$port" false
+	sed -i "s|\"engine_url\": \"[^\"]*\"|\"engine_url\": \"http://127.0.0.1:$((BASE + 50))\"|; s|, \"debug_listen\": \"[^\"]*\"||" "$WORK/side-$1.json"
+	echo "{\"vm\": \"vm-$1\", \"data_centre\": \"waco\", \"models\": [\"reader\"]}" >"$WORK/server-$1.json"
+	ctl settings set "servers/$id" "$WORK/server-$1.json" >/dev/null
+	run "measure-side-$1" "$BIN/camphor-side" --config "$WORK/side-$1.json"
+}
+
+# scale: what control costs a router as the number of side processes grows.
+scale() {
+	local count=1 target before bytes
+	for target in 8 16 32 46; do
+		while ((count < target)); do
+			count=$((count + 1))
+			add_side "$count"
+		done
+		sleep "$SETTLE_SECONDS"
+		before=$(cpu measure-router-waco)
+		bytes=$(lo_bytes)
+		sleep "$SCALE_SECONDS"
+		emit "capacity.router.cpu_at_${target}_sides" \
+			"$(spent "$before" "$(cpu measure-router-waco)" "$SCALE_SECONDS")" cores
+		emit "capacity.router.rss_at_${target}_sides" "$(rss measure-router-waco)" MB
+		emit "capacity.loopback.bytes_at_${target}_sides" \
+			"$(awk -v a="$bytes" -v b="$(lo_bytes)" -v s="$SCALE_SECONDS" 'BEGIN {printf "%.0f", (b - a) / s}')" bytes_per_s
+	done
+}
+
 trap cleanup EXIT
 trap 'exit 130' INT TERM
 prepare
 idle
+scale
 overhead
 throughput
