Control measured: settings in force with a slow log, settlement appends at the target

Worked out, not measured: side processes that append for themselves to 16 shards exceed several hundred appends a second at the target unless they gather for about a minute; at 200 ms it would be thousands.

--- a/internal/measure/control/control.go
+++ b/internal/measure/control/control.go
@@ -41,5 +41,6 @@
 			return err
 		}
 	}
+	targetSettlements(emit)
 	return measureFollowing(ctx, emit)
 }
--- a/internal/measure/control/inforce.go
+++ b/internal/measure/control/inforce.go
@@ -17,8 +17,13 @@
 	"github.com/camphorlever/camphorlever/internal/settings"
 )
 
-// changesMeasured is how many changes of settings are timed.
-const changesMeasured = 40
+// Changes of settings that are timed, with a log that answers promptly and with
+// one that takes slowDelay for each call.
+const (
+	changesMeasured     = 40
+	slowChangesMeasured = 10
+	slowDelay           = 500 * time.Millisecond
+)
 
 // measureInForce times changes from the operator's submission to the moment at
 // which the last process has them in force.
@@ -28,26 +33,36 @@
 		return err
 	}
 	defer c.stop()
-	base := ident.NoOffset
+	name := "settings.in_force_ms." + d.name
+	emit(name+".processes", float64(len(c.nodes)), "processes")
+	base, err := c.timeChanges(ctx, emit, name, changesMeasured, ident.NoOffset)
+	if err != nil {
+		return err
+	}
+	c.log.Slow(slowDelay)
+	_, err = c.timeChanges(ctx, emit, name+".slow_log", slowChangesMeasured, base)
+	return err
+}
+
+// timeChanges makes changes one after the other and returns the last version.
+func (c *cluster) timeChanges(ctx context.Context, emit measure.Emit, name string, changes int, base ident.Offset) (ident.Offset, error) {
 	var times []time.Duration
-	for i := range changesMeasured {
+	for i := range changes {
 		began := time.Now()
 		version, err := c.change(ctx, i, base)
 		if err != nil {
-			return err
+			return base, err
 		}
 		if err := c.awaitVersion(ctx, version); err != nil {
-			return err
+			return base, err
 		}
 		times = append(times, time.Since(began))
 		base = version
 	}
 	slices.Sort(times)
-	name := "settings.in_force_ms." + d.name
 	emit(name+".p50", milliseconds(times[len(times)/2]), "ms")
 	emit(name+".max", milliseconds(times[len(times)-1]), "ms")
-	emit(name+".processes", float64(len(c.nodes)), "processes")
-	return nil
+	return base, nil
 }
 
 func milliseconds(d time.Duration) float64 {
@@ -56,7 +71,7 @@
 
 func (c *cluster) change(ctx context.Context, i int, base ident.Offset) (ident.Offset, error) {
 	r, err := record.New(settings.KindChange, settings.Change{
-		ID:     fmt.Sprint(i),
+		ID:     ident.NewNonce().String(),
 		Path:   "teams/a",
 		Base:   base,
 		Author: settings.Bootstrap,
