Streams: batches that a peer's state jumps over

Mutations seen failing: the wait for such a batch not ended; it ended although the mark does not cover the batch, or not ended when it does; the next batch not numbered after the mark.

--- a/internal/stream/fold_test.go
+++ b/internal/stream/fold_test.go
@@ -12,7 +12,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/camphorlever/camphorlever/internal/ident"
-	"github.com/camphorlever/camphorlever/internal/memlog"
+	"github.com/camphorlever/camphorlever/internal/logservice"
 	"github.com/camphorlever/camphorlever/internal/record"
 )
 
@@ -102,7 +102,7 @@
 	work   conc.WaitGroup
 }
 
-func start(log *memlog.Log, writer ident.Incarnation, known uint16) *process {
+func start(log logservice.Log, writer ident.Incarnation, known uint16) *process {
 	p := &process{Follower: NewFollower(log, sumSpec(known), zerolog.Nop())}
 	p.writer = NewWriter(p.Follower, func() ident.Incarnation { return writer })
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -369,3 +370,86 @@
 		}
 	})
 }
+
+// deaf is a log that can be written but, while cut, not read.
+type deaf struct {
+	*memlog.Log
+	cut atomic.Bool
+}
+
+func (d *deaf) Read(ctx context.Context, request logservice.ReadRequest) (logservice.Page, error) {
+	if d.cut.Load() {
+		return logservice.Page{}, logservice.ErrUnavailable
+	}
+	request.Wait = 0
+	page, err := d.Log.Read(ctx, request)
+	if len(page.Entries) == 0 {
+		time.Sleep(time.Second)
+	}
+	return page, err
+}
+
+// A writer whose batch took effect but whose state jumped over it, by a peer's
+// snapshot, says that the outcome is unknown and goes on with the next number.
+// One whose batch is not in the snapshot goes on waiting for it.
+func TestABatchThatTheStateJumpedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &deaf{Log: memlog.New()}
+		p := start(log, 7, 1)
+		defer p.stop()
+		peer := start(log.Log, 8, 1)
+		defer peer.stop()
+		_, err := p.add(t, 1)
+		require.NoError(t, err)
+		_, before, err := peer.Snapshot()
+		require.NoError(t, err)
+		log.cut.Store(true)
+		time.Sleep(2 * time.Second)
+		var outcome error
+		var work conc.WaitGroup
+		began := time.Now()
+		work.Go(func() { _, outcome = p.writer.Submit(within(t, time.Hour), add(t, 10)) })
+		time.Sleep(time.Minute)
+		adopted, err := p.Adopt(before)
+		require.NoError(t, err)
+		require.False(t, adopted)
+		_, err = peer.add(t, 100)
+		require.NoError(t, err)
+		_, after, err := peer.Snapshot()
+		require.NoError(t, err)
+		adopted, err = p.Adopt(after)
+		require.NoError(t, err)
+		require.True(t, adopted)
+		work.Wait()
+		require.ErrorIs(t, outcome, ErrUnknown)
+		require.Less(t, time.Since(began), 2*time.Minute)
+		log.cut.Store(false)
+		_, err = p.add(t, 1000)
+		require.NoError(t, err)
+		sum, adds := p.state()
+		require.Equal(t, []int{1111, 4}, []int{sum, adds})
+	})
+}
+
+// Only a mark tells that a batch was among what a state jumped over.
+func TestAJumpResolvesOnlyWhatTheMarkCovers(t *testing.T) {
+	f := NewFollower(memlog.New(), sumSpec(1), zerolog.Nop())
+	done := f.expect(record.Identity{Writer: 7, Sequence: 2})
+	for mark := uint64(1); mark <= 2; mark++ {
+		state := newSum(1)
+		state.At = ident.Offset(mark * 10)
+		state.Marks[7] = mark
+		raw, err := state.Snapshot()
+		require.NoError(t, err)
+		adopted, err := f.Adopt(raw)
+		require.NoError(t, err)
+		require.True(t, adopted)
+		select {
+		case back := <-done:
+			require.EqualValues(t, 2, mark)
+			require.True(t, back.lost)
+		default:
+			require.EqualValues(t, 1, mark)
+		}
+	}
+}
