--- a/internal/filter/admit/handler.go
+++ b/internal/filter/admit/handler.go
@@ -63,7 +63,7 @@
 	reservation := r.Reservation
 	r.Reservation = nil
 	if p := recover(); p != nil {
-		reservation.Hold()
+		reservation.Hold(r.Key, r.Target.Gate)
 		panic(p)
 	}
 	reservation.Settle(0)
