Node: every ended life is closed in every shard, at once

A life that held no tokens was closed only after 32 others, and never in a shard that had nothing of it; a router's reservation for a run whose gate ended without settling it waited for that close, so it could be held for ever. The fleet fold now knows the last 1024 ended lives by name, and the closer covers them in each shard. Price: one append a shard and ended life, which ranges join. Seen failing with only the lives that the shard remembers.

--- a/internal/fleet/reclaim.go
+++ b/internal/fleet/reclaim.go
@@ -15,7 +15,7 @@
 	if writer != r.Incarnation {
 		return RefusedWriter
 	}
-	delete(s.members, writer)
+	s.drop(writer)
 	s.decideAll()
 	return Accepted
 }
@@ -75,17 +75,26 @@
 	if !s.decided(m) {
 		return
 	}
-	delete(s.members, m.Incarnation)
+	s.drop(m.Incarnation)
 	s.decideAll()
 }
 
+// drop forgets a life but for its name.
+func (s *State) drop(incarnation ident.Incarnation) {
+	delete(s.members, incarnation)
+	s.ended = append(s.ended, incarnation)
+	if len(s.ended) > endedKept {
+		s.ended = s.ended[len(s.ended)-endedKept:]
+	}
+}
+
 // decideAll drops decided lives until none is left.
 func (s *State) decideAll() {
 	for again := true; again; {
 		again = false
-		for _, m := range s.members {
+		for _, m := range s.sorted() {
 			if m.Sealed && s.decided(m) {
-				delete(s.members, m.Incarnation)
+				s.drop(m.Incarnation)
 				again = true
 			}
 		}
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -17,6 +17,8 @@
 	Shards  int           `msgpack:"s"`
 	Members []memberImage `msgpack:"m"`
 	Recent  []nonce       `msgpack:"n"`
+
+	Ended []ident.Incarnation `msgpack:"e"` // oldest first
 }
 
 type memberImage struct {
@@ -37,6 +39,7 @@
 		Shards:  s.shards,
 		Members: make([]memberImage, 0, len(s.members)),
 		Recent:  append(make([]nonce, 0, len(s.recent)), s.recent...),
+		Ended:   append(make([]ident.Incarnation, 0, len(s.ended)), s.ended...),
 	}
 	for _, m := range s.sorted() {
 		image.Members = append(image.Members, m.image())
@@ -77,6 +80,7 @@
 	s.level = image.Level
 	s.shards = image.Shards
 	s.recent = image.Recent
+	s.ended = image.Ended
 	for _, n := range image.Recent {
 		s.nonces[n.Nonce] = n.Incarnation
 	}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -16,6 +16,10 @@
 // the format.
 const RegistrationWindow = 4096
 
+// endedKept is how many of the lives that ended last are known by name. It is
+// part of the format.
+const endedKept = 1024
+
 // Outcome is the fold's verdict on one record.
 type Outcome uint8
 
@@ -44,7 +48,8 @@
 	shards  int // ledger shards of the fleet, 0 before the first registration
 	members map[ident.Incarnation]*member
 	nonces  map[uuid.UUID]ident.Incarnation
-	recent  []nonce // oldest first
+	recent  []nonce             // oldest first
+	ended   []ident.Incarnation // that ended last, oldest first; views share it
 }
 
 type nonce struct {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -13,6 +13,8 @@
 	Routers []Member // neither sealed nor ended, by incarnation
 	Sides   []Member // neither sealed nor ended, by incarnation; also those that leave
 	Pending []Sealed // sealed and not decided, by incarnation
+	// Ended lists the lives that ended last, oldest first.
+	Ended   []ident.Incarnation
 	members map[ident.Incarnation]Member
 }
 
@@ -31,7 +33,7 @@
 
 // View returns the membership now.
 func (s *State) View() *View {
-	v := &View{Offset: s.offset, members: make(map[ident.Incarnation]Member, len(s.members))}
+	v := &View{Offset: s.offset, Ended: s.ended, members: make(map[ident.Incarnation]Member, len(s.members))}
 	for _, m := range s.sorted() {
 		v.members[m.Incarnation] = m.Member
 		switch {
--- a/internal/ledger/incarnations.go
+++ b/internal/ledger/incarnations.go
@@ -25,18 +25,6 @@
 	return slices.Sorted(maps.Keys(known))
 }
 
-// Outstanding returns the tokens that a holder's grants of all teams still
-// hold.
-func (s *State) Outstanding(holder ident.Incarnation) int64 {
-	var sum int64
-	for _, b := range s.budgets {
-		if grant := b.grant(holder); grant != nil {
-			sum += grant.Outstanding()
-		}
-	}
-	return sum
-}
-
 // KeyBilled reports whether a run of a key was billed, as far as the shard
 // remembers: BilledKeyWindow keys.
 func (s *State) KeyBilled(key ident.Key) bool {
--- a/internal/node/close.go
+++ b/internal/node/close.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/camphorlever/camphorlever/internal/fleet"
@@ -16,13 +17,11 @@
 	closeInterval = 2 * time.Second
 	closeJitter   = 2 * time.Second
 	closeTimeout  = 30 * time.Second
-	// closeLazily is how many ended lives without tokens a shard may
-	// remember before they are closed.
-	closeLazily = 32
 )
 
-// closer writes a Close to each shard of the ledger that still remembers a
-// life which has ended. Any router may write it, and a repeat has no effect;
+// closer writes a Close of every life that has ended to each shard of the
+// ledger, also where it held nothing: routers learn from it that a run which
+// they began there can no longer be billed. Any router may write it, and a repeat has no effect;
 // the random pause lets usually one of them do it.
 type closer struct {
 	node *Node
@@ -64,24 +63,20 @@
 	}
 }
 
-// due returns the Close records that a shard lacks: nothing while it remembers
-// only a few ended lives, none of which holds tokens.
+// due returns the Close records that a shard lacks: of the lives that ended
+// last, and of those of which the shard remembers something.
 func (c *closer) due(shard int) []ledger.Close {
 	members := c.node.Members()
 	var ended []ident.Incarnation
-	var held int64
 	c.node.ledger.ViewShard(shard, func(s *ledger.State) {
-		for _, incarnation := range s.Incarnations() {
+		for _, incarnation := range append(s.Incarnations(), members.Ended...) {
 			if members.Closed(incarnation) && !s.Closed(incarnation) {
 				ended = append(ended, incarnation)
-				held += s.Outstanding(incarnation)
 			}
 		}
 	})
-	if held == 0 && len(ended) < closeLazily {
-		return nil
-	}
-	return spans(members, ended)
+	slices.Sort(ended)
+	return spans(members, slices.Compact(ended))
 }
 
 // spans joins ended lives with no member between them into one record, so that
--- a/internal/node/reclaim_test.go
+++ b/internal/node/reclaim_test.go
@@ -60,6 +60,24 @@
 	return tokens
 }
 
+// A life that held nothing and wrote nothing to the ledger is closed in every
+// shard, too: others may hold a reservation for a run there.
+func TestEveryEndedLifeIsClosedInEveryShard(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		r1 := w.start(fleet.RoleRouter, "r1")
+		s1 := w.start(fleet.RoleSide, "s1")
+		w.start(fleet.RoleSide, "s2")
+		require.NoError(t, s1.Stop(within(t, time.Minute)))
+		w.crash(s1)
+		for shard := range r1.Ledger().Shards() {
+			eventually(t, time.Minute, func() (closed bool) {
+				r1.Ledger().ViewShard(shard, func(s *ledger.State) { closed = s.Closed(s1.Incarnation()) })
+				return closed
+			}, "closed")
+		}
+	})
+}
+
 // Two routers may both close what a third held. The tokens come free once, in
 // the ledger, and only after the side process has let go.
 func TestClosersFreeTheTokensOnce(t *testing.T) {
