Router: a held reservation is freed once its gate says the run never was

The stream filter tells the witness of every reservation that it holds; the tracker asks the gate to seal the key, and if it was never started the budget settles the held reservation at nothing. Until now it stayed reserved until the gate's life was closed. Seen failing: the filter not telling the witness; the budget not told; another gate's word taken for it.

--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -227,6 +227,8 @@
 		{"settled", func(w *world) { w.settle(run, 1, 120) }, 880},
 		{"settled by a stranger's gate", func(w *world) { w.settle(ident.RunID{Gate: 51, Number: 1}, 1, 120) }, 700},
 		{"gate closed", func(w *world) { w.do(9, ledger.KindClose, ledger.Close{Holder: 50}) }, 1000},
+		{"never ran", func(w *world) { w.routers[1].NeverRan("a", testKey(1), 50) }, 1000},
+		{"never ran elsewhere", func(w *world) { w.routers[1].NeverRan("a", testKey(1), 51); w.routers[1].NeverRan("a", testKey(2), 50) }, 700},
 		{"settled, then gate closed", func(w *world) {
 			w.settle(run, 1, 120)
 			w.do(9, ledger.KindClose, ledger.Close{Holder: 50})
--- a/internal/budget/hand.go
+++ b/internal/budget/hand.go
@@ -38,6 +38,7 @@
 	giving    bool     // a return is in flight
 	closing   bool     // a Close of a borrower is in flight
 	held      []heldRun
+	neverRan  []heldKey         // told since the last look at held
 	home      ident.Incarnation // of this team in this data centre
 	homePrint uint64            // of the roster that it was chosen from
 	skipped   int               // ticks for which there was nothing to do
--- a/internal/budget/held.go
+++ b/internal/budget/held.go
@@ -1,6 +1,8 @@
 package budget
 
 import (
+	"slices"
+
 	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/ledger"
 )
@@ -12,6 +14,24 @@
 	gate        ident.Incarnation
 }
 
+// heldKey is a key at a gate.
+type heldKey struct {
+	key  ident.Key
+	gate ident.Incarnation
+}
+
+// NeverRan says that a gate has not started a key and never will. What is held
+// for it is settled at nothing by the controller.
+func (g *Grants) NeverRan(team ident.TeamID, key ident.Key, gate ident.Incarnation) {
+	h := g.lookup(team)
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.neverRan = append(h.neverRan, heldKey{key: key, gate: gate})
+}
+
 // used returns what the run has used, once the ledger shows it. A gate that is
 // closed has settled what it ran before; a bill that may have been forgotten
 // counts as the whole bound.
@@ -32,14 +52,19 @@
 // resolve settles the held reservations of which the outcome is known now.
 func (g *Grants) resolve(h *hand) {
 	h.mu.Lock()
-	held := h.held
-	h.held = nil
+	held, neverRan := h.held, h.neverRan
+	h.held, h.neverRan = nil, nil
 	h.mu.Unlock()
 	if len(held) == 0 {
 		return
 	}
 	var open []heldRun
 	for _, r := range held {
+		if slices.Contains(neverRan, heldKey{key: r.key, gate: r.gate}) {
+			h.settle(r.reservation, 0)
+			g.counts.Inc("held_never_ran")
+			continue
+		}
 		var (
 			tokens int64
 			known  bool
--- a/internal/filter/stream/begin.go
+++ b/internal/filter/stream/begin.go
@@ -252,6 +252,7 @@
 func (a *attempt) hold() {
 	a.r.Reservation.Hold(a.copied.Key, a.copied.Gate)
 	a.r.Reservation = nil
+	a.Witness.Lost(a.copied)
 }
 
 // again is a refusal of one attempt after which another may be made.
--- a/internal/filter/stream/setup.go
+++ b/internal/filter/stream/setup.go
@@ -47,6 +47,9 @@
 	Track(c Copy) bool
 	// NotStarted drops a copy: the gate has not started it for this router.
 	NotStarted(c Copy)
+	// Lost says that nobody waits any more for the run of a copy, whose fate
+	// is not known; the witness finds out.
+	Lost(c Copy)
 	// Finish adds the final usage of the run.
 	Finish(c Copy, run ident.RunID, usage wire.Usage)
 }
--- a/internal/filter/stream/stream_test.go
+++ b/internal/filter/stream/stream_test.go
@@ -32,6 +32,7 @@
 	request   *wire.BeginRequest
 	settled   []int64
 	held      int
+	lost      int
 	cancelled chan struct{}
 }
 
@@ -92,6 +93,7 @@
 	return !w.sealedGate
 }
 func (w *world) NotStarted(Copy)                      { w.log = append(w.log, "not started") }
+func (w *world) Lost(Copy)                            { w.lost++ }
 func (w *world) Finish(Copy, ident.RunID, wire.Usage) { w.log = append(w.log, "finish") }
 func (w *world) Incarnation() ident.Incarnation       { return 3 }
 func (w *world) Offsets() wire.Offsets                { return wire.Offsets{Settings: 1, Fleet: 2} }
@@ -190,6 +192,7 @@
 			require.Equal(t, c.log, w.log)
 			require.Equal(t, c.settled, w.settled)
 			require.Equal(t, c.held, w.held)
+			require.Equal(t, w.held, w.lost, "what is held is looked for")
 			require.Equal(t, len(c.settled)+c.held == 0, r.Reservation != nil, "freed by admit if and only if not ended here")
 			mayHaveRun := c.ran == refusal.Unknown && c.held > 0 || c.retry == retryFailed
 			require.Equal(t, mayHaveRun, r.Contested)
--- a/internal/router/witness.go
+++ b/internal/router/witness.go
@@ -1,6 +1,11 @@
 package router
 
 import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/camphorlever/camphorlever/internal/filter"
 	"github.com/camphorlever/camphorlever/internal/filter/stream"
 	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/settlement"
@@ -22,6 +27,35 @@
 	w.tracker.NotStarted(settlement.Copy(c))
 }
 
+// Lost implements stream.Witness.
+func (w *witness) Lost(c stream.Copy) {
+	w.tracker.Lost(settlement.Copy(c))
+}
+
+// probe asks the gate of a copy to seal its key.
+func (r *Router) probe(ctx context.Context, c settlement.Copy) (wire.KeyState, error) {
+	member, ok := r.node.Members().Member(c.Gate)
+	if !ok {
+		return 0, errors.New("gate is not a member")
+	}
+	target := filter.Target{Gate: c.Gate, Address: member.Registration.Address}
+	reply, err := r.gates.SealKey(ctx, target, c.Key)
+	if err != nil {
+		return 0, err
+	}
+	if reply.Gate != c.Gate {
+		return 0, errors.New("another life of the gate answered")
+	}
+	return reply.Was, nil
+}
+
+// neverRan frees what is held for a run that never was.
+func (r *Router) neverRan(c settlement.Copy) {
+	if grants := r.grants.Load(); grants != nil {
+		grants.NeverRan(c.Team, c.Key, c.Gate)
+	}
+}
+
 // Finish implements stream.Witness.
 func (w *witness) Finish(c stream.Copy, run ident.RunID, usage wire.Usage) {
 	w.tracker.Finish(settlement.Copy(c), run, usage)
