Grants: a floor for teams that have not asked yet, and shorter waits in vain

A team without recent demand held two runs' worth of tokens, so that its first requests in a log outage were refused although the budget was ample. Without caution the routers now hold the whole of an ample budget, by equal parts or, in little use, by the home router of each data centre; caution leaves a part in the ledger, full caution all but the demand. The teams of the settings are taken up at the router's start, 50 a second. Tokens lying idle in the ledger beyond what caution leaves there are drawn: any rest there makes all later refusals of an outage false.

A request waited ten seconds also when that could not help. While the ledger does not answer it now waits only if runs in progress here or at a lender that answered (BorrowReply.InUse) may give tokens back, otherwise one second.

--- a/internal/budget/borrow.go
+++ b/internal/budget/borrow.go
@@ -124,6 +124,7 @@
 	d.next++
 	if reply.Tokens <= 0 || reply.Holder != lender {
 		g.counts.Inc("borrow_refused")
+		g.hand(team).noteInUse(reply.InUse)
 		return true
 	}
 	g.counts.Inc("borrow")
@@ -131,6 +132,13 @@
 	return true
 }
 
+// noteInUse adds what a lender could not lend since runs use it.
+func (h *hand) noteInUse(tokens int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.peersUse += tokens
+}
+
 // addLoan puts a loan into the hand.
 func (h *hand) addLoan(lender ident.Incarnation, tokens int64, sealed bool) {
 	h.mu.Lock()
@@ -166,6 +174,9 @@
 // borrowAround asks the other routers until the bound fits.
 // gather says that the ledger is short and can be reached.
 func (g *Grants) borrowAround(ctx context.Context, h *hand, tokens int64, gather bool) peersResult {
+	h.mu.Lock()
+	h.peersUse = 0
+	h.mu.Unlock()
 	var unknown int64 // in the grants of those that did not answer
 	for _, l := range g.lenders(h) {
 		got := noAnswer
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -65,6 +65,9 @@
 	// Policy returns the sizing policy of a team as its settings say.
 	Policy func(ident.TeamID) Policy
 	Logger zerolog.Logger
+	// Teams lists the teams of the settings, of which a floor is held before
+	// their first request. It may be nil.
+	Teams func() []ident.TeamID
 	// Now is the clock of the sizing; no safety depends on it. Default
 	// time.Now.
 	Now func() time.Time
--- a/internal/budget/control.go
+++ b/internal/budget/control.go
@@ -16,6 +16,8 @@
 	// balanceInterval is the least time between two adjustments of a grant
 	// that are not urgent.
 	balanceInterval = 5 * time.Second
+	// newTeamsPerTick bounds the teams that are taken up at once.
+	newTeamsPerTick = 50
 	// dormantRate is the demand, in tokens a second, below which a team may
 	// be left alone.
 	dormantRate = 1.0
@@ -46,6 +48,7 @@
 
 // Tick is one round of the controller.
 func (g *Grants) Tick(ctx context.Context) {
+	g.meetTeams()
 	for _, h := range g.hands() {
 		if !h.dormant() {
 			g.tickHand(ctx, h)
@@ -53,13 +56,31 @@
 	}
 }
 
-// dormant reports whether a hand is empty and unused, so that the controller
-// can leave it alone. Now and then it looks nevertheless: a draw whose outcome
-// was unknown may have been granted.
+// meetTeams takes teams of the settings up, a few with each tick, so that the
+// start of a router does not fill the log.
+func (g *Grants) meetTeams() {
+	if g.config.Teams == nil {
+		return
+	}
+	met := 0
+	for _, team := range g.config.Teams() {
+		if met >= newTeamsPerTick {
+			return
+		}
+		if g.lookup(team) == nil {
+			g.hand(team)
+			met++
+		}
+	}
+}
+
+// dormant reports whether a hand is balanced and unused, so that the controller
+// can leave it alone. Now and then it looks nevertheless: the budget may have
+// been topped up, or a draw whose outcome was unknown been granted.
 func (h *hand) dormant() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	empty := h.own.free == 0 && h.own.reserved == 0 && len(h.loans)+len(h.lent)+len(h.held) == 0
+	empty := h.balancedOut && h.own.reserved == 0 && len(h.loans)+len(h.lent)+len(h.held) == 0
 	demanded := h.demand.used > 0 || max(h.demand.rate(), h.fleet.rate()) >= dormantRate
 	if !empty || demanded || h.skipped >= dormantTicks {
 		h.skipped = 0
@@ -91,6 +112,9 @@
 	if homed {
 		asked = 0
 	}
+	h.mu.Lock()
+	h.balancedOut = asked == 0 && excess == 0
+	h.mu.Unlock()
 	if (asked > 0 || excess > 0) && (policy.Urgent(situation) || h.mayBalance(now)) {
 		g.balance(h, asked, excess, now)
 	}
--- a/internal/budget/hand.go
+++ b/internal/budget/hand.go
@@ -29,28 +29,30 @@
 type hand struct {
 	team ident.TeamID
 
-	mu        sync.Mutex // guards all below
-	own       *source
-	loans     []*source // one per lender
-	granted   int64     // total of draws already added to own, as read from the fold
-	lent      map[ident.Incarnation]*lent
-	draw      *drawing // in flight
-	giving    bool     // a return is in flight
-	closing   bool     // a Close of a borrower is in flight
-	held      []heldRun
-	home      ident.Incarnation // of this team in this data centre
-	homePrint uint64            // of the roster that it was chosen from
-	skipped   int               // ticks for which there was nothing to do
-	proof     proof
-	balanced  time.Time // when the own grant was last adjusted
-	demand    demand
-	seen      ident.Offset // of the fold, when the demand was last followed
-	fleet     ledgerDemand // of all routers
-	site      ledgerDemand // of those of this data centre
-	low       int64        // below it, more is to be drawn
-	wanting   bool         // the controller was told so
-	waiters   int
-	changed   chan struct{} // closed when tokens come free while there are waiters
+	mu          sync.Mutex // guards all below
+	own         *source
+	loans       []*source // one per lender
+	granted     int64     // total of draws already added to own, as read from the fold
+	lent        map[ident.Incarnation]*lent
+	draw        *drawing // in flight
+	giving      bool     // a return is in flight
+	closing     bool     // a Close of a borrower is in flight
+	held        []heldRun
+	home        ident.Incarnation // of this team in this data centre
+	homePrint   uint64            // of the roster that it was chosen from
+	skipped     int               // ticks for which there was nothing to do
+	peersUse    int64             // in use at the lenders that were asked last
+	balancedOut bool              // the last tick found nothing to adjust
+	proof       proof
+	balanced    time.Time // when the own grant was last adjusted
+	demand      demand
+	seen        ident.Offset // of the fold, when the demand was last followed
+	fleet       ledgerDemand // of all routers
+	site        ledgerDemand // of those of this data centre
+	low         int64        // below it, more is to be drawn
+	wanting     bool         // the controller was told so
+	waiters     int
+	changed     chan struct{} // closed when tokens come free while there are waiters
 }
 
 // proof is the last verdict by which the ledger showed a budget to be short.
--- a/internal/budget/home.go
+++ b/internal/budget/home.go
@@ -12,17 +12,11 @@
 	"github.com/camphorlever/camphorlever/internal/ledger"
 )
 
-// littleUseRuns is the demand over the horizon, in runs of a recent bound, up
-// to which a budget is in little use: then only its home router in each data
-// centre draws, and the others borrow from it.
-const littleUseRuns = 4
-
 // homeOf returns the home router of a budget in this data centre, if it is
 // another one and the budget is in little use here, or scarce.
 func (g *Grants) homeOf(s Situation, h *hand) (ident.Incarnation, bool) {
 	policy := g.policy(h)
-	little := s.Rate*policy.Horizon.Seconds() <= float64(littleUseRuns*s.Bound)
-	if s.Home || !little && policy.Scarcity(s) != Scarce {
+	if s.Home || !policy.LittleUse(s) && policy.Scarcity(s) != Scarce {
 		return 0, false
 	}
 	home := g.home(h, g.roster())
@@ -82,6 +76,7 @@
 		SiteShare: r.siteShare(),
 		Bound:     int64(h.demand.bound),
 		Routers:   max(len(r.routers), 1),
+		Here:      len(r.here),
 		Home:      home == 0 || home == g.config.Self,
 	}
 	if h.fleet.long > 0 {
--- a/internal/budget/lend.go
+++ b/internal/budget/lend.go
@@ -73,22 +73,23 @@
 	h := g.hand(args.Team)
 	budget := g.sync(h)
 	reply.Exhausted = budget.Free < args.Least
-	reply.Tokens = g.lendFrom(h, args)
+	reply.Tokens, reply.InUse = g.lendFrom(h, args)
 	if reply.Tokens == 0 && args.Gather {
 		g.giveBack(h, math.MaxInt64)
 	}
 	return reply
 }
 
-// lendFrom moves tokens from the own grant to a loan and returns how many.
-func (g *Grants) lendFrom(h *hand, args wire.BorrowArgs) int64 {
+// lendFrom moves tokens from the own grant to a loan and returns how many, and
+// how many more are in use.
+func (g *Grants) lendFrom(h *hand, args wire.BorrowArgs) (tokens, inUse int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.own.free < args.Least {
 		g.counts.Inc("lend_short")
-		return 0
+		return 0, h.own.reserved
 	}
-	tokens := max(args.Least, min(args.Asked, h.own.free/2))
+	tokens = max(args.Least, min(args.Asked, h.own.free/2))
 	h.own.free -= tokens
 	entry := h.lent[args.Borrower]
 	if entry == nil {
@@ -97,7 +98,7 @@
 	}
 	entry.tokens += tokens
 	g.counts.Inc("lend")
-	return tokens
+	return tokens, h.own.reserved
 }
 
 // Repay takes unused tokens of loans back. The total is cumulative, so that a
--- a/internal/budget/policy.go
+++ b/internal/budget/policy.go
@@ -25,6 +25,7 @@
 	SiteShare float64 // of it in this data centre, 0 to 1
 	Bound     int64   // of a large recent run
 	Routers   int     // live ones
+	Here      int     // of them in this data centre
 	Home      bool    // this router is the budget's home in its data centre
 }
 
@@ -53,13 +54,20 @@
 	// cautiousShare is the part of its proportional share that a router
 	// takes at full caution.
 	cautiousShare = 0.25
+	// floorShare is the part of an ample budget that is held whatever the
+	// demand, without caution.
+	floorShare = 1.0
+	// littleUseRuns is the demand over the horizon, in runs of a recent
+	// bound, up to which a budget is in little use.
+	littleUseRuns = 4
 	// lowWater and highWater are where a draw or a return starts, as parts of
 	// the target.
 	lowWater  = 0.93
 	highWater = 1.07
 	// urgentWater is the part of the target below which a draw cannot wait.
 	urgentWater = 0.5
-	// idleShare is the part of a scarce budget that may stay in the ledger.
+	// idleShare is the part of a budget that may stay in the ledger beyond
+	// what caution leaves there.
 	idleShare = 0.01
 	// minRuns is how many runs of a recent bound are worth holding.
 	minRuns = 2
@@ -98,13 +106,45 @@
 	}
 	wanted := rate*p.Horizon.Seconds()*horizonMargin + float64(minRuns*s.Bound)
 	limit := p.part() * share * float64(s.Free+s.Spread)
-	return int64(math.Floor(min(wanted, limit)))
+	return int64(math.Floor(max(min(wanted, limit), p.floor(s))))
+}
+
+// floor is what is held of an ample budget beside the demand seen so far, so
+// that a team which begins to ask while the log is away finds tokens.
+func (p Policy) floor(s Situation) float64 {
+	if p.Scarcity(s) != Ample {
+		return 0
+	}
+	return (1 - p.caution()) * floorShare * p.floorPart(s) * float64(s.Free+s.Spread)
+}
+
+// floorPart is this router's part of the floor of all. Of a budget in little
+// use the home router holds it for its data centre.
+func (p Policy) floorPart(s Situation) float64 {
+	routers := 1
+	if p.LittleUse(s) {
+		if !s.Home {
+			return 0
+		}
+		routers = max(s.Here, 1)
+	}
+	return float64(routers) / float64(max(s.Routers, 1))
+}
+
+// LittleUse reports whether so little is spent at this router that it need not
+// hold tokens of its own.
+func (p Policy) LittleUse(s Situation) bool {
+	return s.Rate*p.Horizon.Seconds() <= float64(littleUseRuns*s.Bound)
 }
 
 // part is the part of its proportional share that a router takes.
 func (p Policy) part() float64 {
-	caution := min(max(p.Caution, 0), 1)
-	return 1 - caution*(1-cautiousShare)
+	return 1 - p.caution()*(1-cautiousShare)
+}
+
+// caution returns the setting within its range.
+func (p Policy) caution() float64 {
+	return min(max(p.Caution, 0), 1)
 }
 
 // Low returns the level below which a draw is due.
@@ -112,19 +152,40 @@
 	return int64(float64(target) * lowWater)
 }
 
-// Draw returns how many tokens to draw before they are needed. Of a scarce
-// budget nothing is left in the ledger, where an outage would lock it up.
+// Draw returns how many tokens to draw before they are needed: what is missing
+// to the target, or this router's share of what lies idle in the ledger, where
+// an outage would lock it up.
 func (p Policy) Draw(s Situation) int64 {
 	target := p.Target(s)
 	if s.Hand < p.Low(target) {
 		return target - s.Hand
 	}
-	idle := float64(s.Free) > idleShare*float64(s.Free+s.Spread)
-	full := float64(s.Hand) > float64(target)*highWater
-	if p.Scarcity(s) != Scarce || !s.Home || !idle || full {
+	if float64(s.Hand) > float64(target)*highWater {
+		return 0
+	}
+	left := float64(s.Free + s.Spread)
+	share, held := p.shareOfIdle(s)
+	idle := float64(s.Free) - (1-held)*left
+	if idle <= idleShare*left {
 		return 0
 	}
-	return int64(p.part() * s.SiteShare * float64(s.Free))
+	return int64(share * idle)
+}
+
+// shareOfIdle returns this router's share of idle tokens, and which part of
+// the budget all routers together are to hold.
+func (p Policy) shareOfIdle(s Situation) (share, held float64) {
+	switch p.Scarcity(s) {
+	case Scarce:
+		if s.Home {
+			share = s.SiteShare
+		}
+		return share, p.part()
+	case Ample:
+		return p.floorPart(s), (1 - p.caution()) * floorShare
+	default:
+		return 0, 0
+	}
 }
 
 // Urgent reports whether an adjustment of the own grant cannot wait: it is far
--- a/internal/budget/wait.go
+++ b/internal/budget/wait.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/refusal"
 )
 
@@ -12,6 +13,9 @@
 	// patience is how long a request waits for runs in progress to give back
 	// what they reserved and did not use.
 	patience = 10 * time.Second
+	// unreachablePatience is the same while the ledger cannot be asked and no
+	// run in reach could give anything back.
+	unreachablePatience = time.Second
 	// firstRecheck and recheckFactor space the attempts meanwhile, up to
 	// lastRecheck; tokens that come free in this router's hands are seen at
 	// once.
@@ -35,11 +39,12 @@
 		return Reservation{}, refused
 	}
 	defer h.leave()
+	began := g.config.Now()
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	for recheck := firstRecheck; ; recheck = min(recheck*recheckFactor, lastRecheck) {
-		if g.sync(h).Outstanding == 0 {
-			return Reservation{}, refused // no run in progress holds any
+		if !g.WaitHelps(h.team, refused, g.config.Now().Sub(began)) {
+			return Reservation{}, refused
 		}
 		if r, ok := g.reserveWithin(ctx, h, tokens, recheck); ok {
 			return r, nil
@@ -54,6 +59,34 @@
 	}
 }
 
+// WaitHelps reports whether a request that was refused some time ago may still
+// be admitted soon: runs in progress hold tokens, and their end would be seen
+// here.
+func (g *Grants) WaitHelps(team ident.TeamID, refused *refusal.Refusal, waited time.Duration) bool {
+	h := g.hand(team)
+	if waited >= patience || g.sync(h).Outstanding == 0 {
+		return false
+	}
+	if refused.Code == refusal.BudgetExhausted || h.inUse() > 0 || g.health.up(g.config.Now()) {
+		return true
+	}
+	return waited < unreachablePatience
+}
+
+// inUse returns the tokens in use by runs in progress, here and at the lenders
+// that answered.
+func (h *hand) inUse() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	total := h.own.reserved + h.peersUse
+	for _, s := range h.loans {
+		if !s.revoked {
+			total += s.reserved
+		}
+	}
+	return total
+}
+
 // reserveWithin reserves from what comes free in hand for a while.
 func (g *Grants) reserveWithin(ctx context.Context, h *hand, tokens int64, span time.Duration) (Reservation, bool) {
 	timer := time.NewTimer(span)
--- a/internal/measure/budget/chosen.go
+++ b/internal/measure/budget/chosen.go
@@ -12,6 +12,7 @@
 	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/ledger"
 	"github.com/camphorlever/camphorlever/internal/record"
+	"github.com/camphorlever/camphorlever/internal/refusal"
 	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
@@ -31,9 +32,11 @@
 	frozen  *ledger.State // what the cut-off data centre last read
 	seq     map[ident.Incarnation]uint64
 	routers []*grants.Grants
-	owed    [][]record.Record // settlements not yet written, by side process
-	runs    []uint64          // numbered, by side process
-	appends traffic           // before the first fault
+	owed    [][]record.Record            // settlements not yet written, by side process
+	runs    []uint64                     // numbered, by side process
+	unsent  [routerCount][]record.Record // returns, by router
+	appends traffic                      // before the first fault
+	refused *refusal.Refusal             // of the last request
 }
 
 // settleDelay is how long a side process gathers settlements.
@@ -54,6 +57,10 @@
 
 		appends: traffic{appends: map[record.Kind]int{}},
 	}
+	var teams []ident.TeamID
+	for team := range s.d.teams {
+		teams = append(teams, teamName(team))
+	}
 	for router := range routerCount {
 		port := &port{c: c, router: router}
 		c.routers = append(c.routers, grants.New(grants.Config{
@@ -63,6 +70,7 @@
 			Fleet:      port,
 			Peers:      port,
 			Policy:     func(ident.TeamID) grants.Policy { return policy },
+			Teams:      func() []ident.TeamID { return teams },
 			Logger:     zerolog.Nop(),
 			Now:        func() time.Time { return time.Unix(1e9, 0).Add(c.w.now) },
 			Launch:     func(task func()) { task() },
@@ -115,12 +123,22 @@
 		c.settle(side)
 	}
 	for router, g := range c.routers {
+		c.resend(router)
 		if !w.s.asleep(router, w.now) {
 			g.Tick(context.Background())
 		}
 	}
 }
 
+// resend writes the returns that could not be sent: a writer repeats a batch
+// until it has read it back.
+func (c *chosen) resend(router int) {
+	if len(c.unsent[router]) > 0 && c.w.s.logReaches(siteOf(router), c.w.now) {
+		c.write(firstLife+ident.Incarnation(router), c.unsent[router])
+		c.unsent[router] = nil
+	}
+}
+
 // settle writes what a side process owes, if it reaches the log.
 func (c *chosen) settle(side int) {
 	s := c.w.s
@@ -176,9 +194,15 @@
 	exact := func(context.Context) (int64, error) { return r.prompt, nil }
 	bound := g.Bound(context.Background(), teamName(r.team), r.loose, r.limit, exact)
 	reservation, refused := g.Try(context.Background(), teamName(r.team), bound)
+	c.refused = refused
 	return reservation, refused == nil
 }
 
+// waits is patient.
+func (c *chosen) waits(w *world, router int, r *request) bool {
+	return c.routers[router].WaitHelps(teamName(r.team), c.refused, w.now-r.at)
+}
+
 func (c *chosen) finish(w *world, router int, r *request, t ticket) {
 	c.w = w
 	reservation := t.(grants.Reservation)
@@ -204,6 +228,9 @@
 
 func (p *port) Submit(_ context.Context, _ ident.TeamID, records ...record.Record) ([]ledger.Verdict, error) {
 	if !p.c.w.s.logReaches(p.site(), p.c.w.now) {
+		if records[0].Kind == ledger.KindReturn {
+			p.c.unsent[p.router] = append(p.c.unsent[p.router], records...)
+		}
 		return nil, errCut
 	}
 	return p.c.write(firstLife+ident.Incarnation(p.router), records), nil
--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/camphorlever/camphorlever/internal/budget"
@@ -72,6 +74,13 @@
 	return f.members().Closed(life)
 }
 
+// teamsOf lists the teams of the settings.
+func teamsOf(tree func() *settings.Tree) func() []ident.TeamID {
+	return func() []ident.TeamID {
+		return slices.Collect(maps.Keys(tree().Teams))
+	}
+}
+
 // policyOf returns the sizing policy that the settings give a team.
 func policyOf(tree func() *settings.Tree) func(ident.TeamID) budget.Policy {
 	return func(team ident.TeamID) budget.Policy {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -139,6 +139,7 @@
 		Fleet:      budgetFleet{members: r.node.Members},
 		Peers:      r.routers,
 		Policy:     policyOf(r.node.Settings),
+		Teams:      teamsOf(r.node.Settings),
 		Logger:     r.log,
 	})
 	r.grants.Store(grants)
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -151,7 +151,8 @@
 	Offsets   Offsets
 	Holder    ident.Incarnation // whose grant the loan belongs to
 	Tokens    int64
-	Exhausted bool // the lender's fold shows that the budget has nothing free either
+	Exhausted bool  // the lender's fold shows that the budget has nothing free either
+	InUse     int64 // of the lender's grant, by its runs in progress; may come free soon
 }
 
 // RepayArgs gives unused tokens of loans back. Total is cumulative per
