--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -37,17 +37,24 @@
 	grants *budget.Grants
 }
 
-func (r *reservation) Settle(actual int64) { r.grants.Settle(r.Reservation, actual) }
-func (r *reservation) Hold()               { r.grants.Hold(r.Reservation) }
+// Settle implements filter.Reservation.
+func (r *reservation) Settle(actual int64) {
+	r.grants.Settle(r.Reservation, actual)
+}
+
+// Hold implements filter.Reservation.
+func (r *reservation) Hold(key ident.Key, gate ident.Incarnation) {
+	r.grants.HoldRun(r.Reservation, key, gate)
+}
 
 // freeOfCharge reserves nothing.
 type freeOfCharge struct {
 	holder ident.Incarnation
 }
 
-func (f freeOfCharge) Holder() ident.Incarnation { return f.holder }
-func (freeOfCharge) Settle(int64)                {}
-func (freeOfCharge) Hold()                       {}
+func (f freeOfCharge) Holder() ident.Incarnation       { return f.holder }
+func (freeOfCharge) Settle(int64)                      {}
+func (freeOfCharge) Hold(ident.Key, ident.Incarnation) {}
 
 // budgetFleet tells the budget of the other routers.
 type budgetFleet struct {
