--- a/internal/gate/begin_test.go
+++ b/internal/gate/begin_test.go
@@ -21,6 +21,7 @@
 		"gate behind settings": {func(_ *bench, r *wire.BeginRequest) { r.Offsets.Settings = 5 }, wire.BeginBehind},
 		"gate behind fleet":    {func(_ *bench, r *wire.BeginRequest) { r.Offsets.Fleet = 5 }, wire.BeginBehind},
 		"sealed key":           {func(b *bench, r *wire.BeginRequest) { b.SealKey(r.Key) }, wire.BeginSealed},
+		"own life sealed":      {func(b *bench, r *wire.BeginRequest) { b.lives.sealed.Store(uint64(own)) }, wire.BeginSealed},
 		"sealed router":        {func(b *bench, r *wire.BeginRequest) { b.lives.sealed.Store(uint64(r.Router)) }, wire.BeginSealed},
 		"sealed holder":        {func(b *bench, r *wire.BeginRequest) { b.lives.sealed.Store(uint64(r.Holder)) }, wire.BeginSealed},
 		"leaving":              {func(b *bench, r *wire.BeginRequest) { b.Leave() }, wire.BeginLeaving},
--- a/internal/side/real_test.go
+++ b/internal/side/real_test.go
@@ -173,7 +173,7 @@
 // process can take its place on the VM.
 func TestFrozenProcessGoesOn(t *testing.T) {
 	w := newRealWorld(t)
-	request := w.request("k", 50)
+	request := w.request("k", 260) // takes longer than the stop
 	outcome, a := w.post(wire.PathRun, request)
 	require.Equal(t, wire.BeginStarted, outcome)
 	var f wire.Frame
@@ -187,11 +187,12 @@
 	require.Equal(t, 1, second.ProcessState.ExitCode())
 	time.Sleep(wire.MissedHeartbeats*wire.HeartbeatInterval + time.Second)
 	require.NoError(t, w.child.Process.Signal(syscall.SIGCONT))
+	time.Sleep(200 * time.Millisecond) // it notices that its reader has gone
 	outcome, rest := w.post(wire.PathAnswer, &wire.ResumeRequest{Key: request.Key, Gate: w.gate, From: f.Offset + 1})
 	require.Contains(t, []wire.BeginOutcome{wire.BeginRunning, wire.BeginDone}, outcome)
 	events, last, _ := rest.rest()
 	require.Equal(t, wire.FrameEnd, last.Kind, last.Result.Message)
-	require.EqualValues(t, 51, f.Offset+1+uint64(events))
+	require.EqualValues(t, 261, f.Offset+1+uint64(events))
 	streams, starts := w.runs()
 	require.Equal(t, []int{1, 1}, []int{streams, starts})
 }
