--- a/cmd/camphor-measure/main.go
+++ b/cmd/camphor-measure/main.go
@@ -10,7 +10,10 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/camphorlever/camphorlever/internal/measure"
+	"github.com/camphorlever/camphorlever/internal/measure/budget"
 	"github.com/camphorlever/camphorlever/internal/measure/capacity"
+	"github.com/camphorlever/camphorlever/internal/measure/control"
+	"github.com/camphorlever/camphorlever/internal/measure/ledgerbench"
 	"github.com/camphorlever/camphorlever/internal/measure/placement"
 	"github.com/camphorlever/camphorlever/internal/measure/schedules"
 	"github.com/camphorlever/camphorlever/internal/measure/sidecost"
@@ -18,8 +21,13 @@
 
 // groups lists what can be measured, in the order of the report.
 var groups = slices.Concat(
-	[]measure.Group{capacity.Group},
-	[]measure.Group{schedules.Group()},
+	[]measure.Group{
+		capacity.Group,
+		control.Group,
+		budget.Group,
+		ledgerbench.Group,
+		schedules.Group,
+	},
 	placement.Groups(),
 	[]measure.Group{sidecost.Group},
 )
--- a/internal/budget/acquire.go
+++ b/internal/budget/acquire.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/refusal"
@@ -23,15 +22,15 @@
 		return Reservation{}, Short
 	}
 	if low {
-		g.wake()
+		g.wake(h)
 	}
 	return r, Reserved
 }
 
-// wake lets the controller run before its next tick.
-func (g *Grants) wake() {
+// wake lets the controller see to a hand before its next tick.
+func (g *Grants) wake(h *hand) {
 	select {
-	case g.kick <- struct{}{}:
+	case g.kick <- h:
 	default:
 	}
 }
@@ -53,82 +52,33 @@
 	}
 }
 
-// Times between the attempts of a request that waits.
-const (
-	firstRecheck  = 50 * time.Millisecond
-	recheckFactor = 3
-)
-
-// patience is how long a request waits for runs in progress to give back what
-// they reserved and did not use.
-const patience = 2 * time.Second
-
-// Acquire reserves tokens: from what is in hand, else by a draw, else by
-// loans, else by waiting a little for runs in progress. The refusal says
-// whether the ledger shows the budget to be spent or it cannot be known now.
-func (g *Grants) Acquire(ctx context.Context, team ident.TeamID, tokens int64) (Reservation, *refusal.Refusal) {
-	deadline := time.NewTimer(patience)
-	defer deadline.Stop()
-	h := g.hand(team)
-	for recheck := firstRecheck; ; recheck *= recheckFactor {
-		changed := h.watch()
-		r, refused := g.Try(ctx, team, tokens)
-		if refused == nil || refused.Code != refusal.BudgetExhausted && refused.Code != refusal.BudgetUnreachable {
-			h.unwatch()
-			return r, refused
-		}
-		again := h.mayChange() && waitFor(ctx, changed, recheck, deadline.C)
-		h.unwatch()
-		if !again {
-			g.counts.Inc("refused_" + string(refused.Code))
-			return Reservation{}, refused
-		}
-	}
-}
-
-// waitFor reports whether it is time for another attempt before the deadline.
-func waitFor(ctx context.Context, changed <-chan struct{}, recheck time.Duration, deadline <-chan time.Time) bool {
-	timer := time.NewTimer(recheck)
-	defer timer.Stop()
-	select {
-	case <-changed:
-		return true
-	case <-timer.C:
-		return true
-	case <-deadline:
-		return false
-	case <-ctx.Done():
-		return false
+// HoldRun is Hold for a run whose key and gate are known. The reservation is
+// settled by the controller once the ledger shows what the key was billed for,
+// or that the gate is closed; Settle must not be called for it any more.
+func (g *Grants) HoldRun(r Reservation, key ident.Key, gate ident.Incarnation) {
+	if r.IsZero() {
+		return
 	}
-}
-
-// watch returns a channel that is closed when tokens come free.
-func (h *hand) watch() <-chan struct{} {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.waiters++
-	return h.changed
-}
-
-func (h *hand) unwatch() {
+	g.counts.Inc("held")
+	h := r.hand
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.waiters--
+	h.held = append(h.held, heldRun{reservation: r, key: key, gate: gate})
 }
 
-// mayChange reports whether runs in progress could give tokens back.
-func (h *hand) mayChange() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.own.reserved > 0 || h.draw != nil {
-		return true
+// Acquire reserves tokens: from what is in hand, else by a draw, else by
+// loans, else by waiting a while for runs in progress to end. The refusal says
+// whether the ledger shows the budget to be spent or it cannot be known now.
+func (g *Grants) Acquire(ctx context.Context, team ident.TeamID, tokens int64) (Reservation, *refusal.Refusal) {
+	r, refused := g.Try(ctx, team, tokens)
+	if refused == nil || !mayPass(refused.Code) {
+		return r, refused
 	}
-	for _, s := range h.loans {
-		if s.reserved > 0 && !s.revoked {
-			return true
-		}
+	r, refused = g.wait(ctx, g.hand(team), tokens, refused)
+	if refused != nil {
+		g.counts.Inc("refused_" + string(refused.Code))
 	}
-	return false
+	return r, refused
 }
 
 // Try is Acquire without the wait for runs in progress.
@@ -149,7 +99,7 @@
 
 // fetch gets tokens from the ledger or from peers until a reservation fits.
 func (g *Grants) fetch(ctx context.Context, h *hand, tokens int64) (Reservation, *refusal.Refusal) {
-	if home, ok := g.homeOf(h); ok {
+	if home, ok := g.homeOf(g.situation(h, g.sync(h)), h); ok {
 		g.borrow(ctx, h, home, tokens, false)
 		if r, outcome := g.Reserve(h.team, tokens); outcome == Reserved {
 			return r, nil
