--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -195,8 +195,9 @@
 	internal := http.NewServeMux()
 	internal.Handle(wire.PathRPC, control)
 	r.internal = r.server(internal)
-	r.callers = r.server((&callers{settings: r.node.Settings, requests: r.requests, models: r.models}).handler())
+	r.callers = r.server(markServing((&callers{settings: r.node.Settings, requests: r.requests, models: r.models}).handler()))
 	r.callers.MaxHeaderBytes = maxHeaderBytes
+	r.callers.ConnContext = withHeaderConn
 	r.admin = r.server(r.adminHandler())
 	for _, l := range []struct {
 		server  *http.Server
@@ -223,6 +224,9 @@
 		return errors.Wrap(err, "listen")
 	}
 	r.bound[server] = listener.Addr()
+	if server == r.callers {
+		listener = headerListener{Listener: listener, refusals: counter.NewSet("callers")}
+	}
 	r.work.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			r.failed <- errors.Wrapf(err, "serve %s", address)
--- /dev/null
+++ b/internal/router/slowheader_test.go
@@ -0,0 +1,89 @@
+package router
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/camphorlever/camphorlever/internal/counter"
+)
+
+// one is a listener with one connection in memory.
+type one struct {
+	conn chan net.Conn
+	done chan struct{}
+}
+
+func (o *one) Accept() (net.Conn, error) {
+	select {
+	case c := <-o.conn:
+		return c, nil
+	case <-o.done:
+		return nil, net.ErrClosed
+	}
+}
+func (o *one) Close() error   { close(o.done); return nil }
+func (o *one) Addr() net.Addr { return &net.UnixAddr{Name: "router"} }
+
+func TestSlowHeaderIsRefused(t *testing.T) {
+	const whole = "GET / HTTP/1.1\r\nHost: r\r\n\r\n"
+	cases := map[string]struct {
+		sent    []string // each answered but the last
+		refused bool
+	}{
+		"part of a header":               {[]string{whole[:20]}, true},
+		"part of a second header":        {[]string{whole, whole[:20]}, true},
+		"nothing after the first answer": {[]string{whole, ""}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				near, far := net.Pipe()
+				l := &one{conn: make(chan net.Conn, 1), done: make(chan struct{})}
+				l.conn <- far
+				server := &http.Server{
+					Handler:           markServing(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })),
+					ReadHeaderTimeout: readHeaderTimeout,
+					IdleTimeout:       idleTimeout,
+					ConnContext:       withHeaderConn,
+				}
+				served := make(chan struct{})
+				go func() {
+					_ = server.Serve(headerListener{Listener: l, refusals: counter.NewSet("callers_test")})
+					close(served)
+				}()
+				answers := bufio.NewReader(near)
+				for i, text := range c.sent {
+					_, err := io.WriteString(near, text)
+					require.NoError(t, err)
+					if i == len(c.sent)-1 {
+						break
+					}
+					response, err := http.ReadResponse(answers, nil)
+					require.NoError(t, err)
+					_, err = io.ReadAll(response.Body)
+					require.NoError(t, err)
+				}
+				start := time.Now()
+				rest, err := io.ReadAll(answers)
+				require.NoError(t, err)
+				if c.refused {
+					require.Contains(t, string(rest), "HTTP/1.1 408 Request Timeout\r\n")
+					require.Contains(t, string(rest), `"ran":"not_run"`)
+					require.LessOrEqual(t, time.Since(start), readHeaderTimeout)
+				} else {
+					require.Empty(t, rest)
+				}
+				require.NoError(t, server.Close())
+				<-served
+				near.Close()
+			})
+		})
+	}
+}
