--- a/internal/gate/begin.go
+++ b/internal/gate/begin.go
@@ -139,6 +139,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r, ok := s.runs[request.Key]; ok {
+		if request.BodyHash != (ident.Key{}) && r.body != request.BodyHash {
+			return &Answer{}, wire.BeginConflict
+		}
 		return r.attach(request.Request, request.Attempt, request.From)
 	}
 	if ended, ok := s.ended.find(request.Key); ok {
