--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -264,6 +264,34 @@
 	})
 }
 
+// TestPatience covers an answer that is slow but alive, and one whose
+// connection breaks after every event.
+func TestPatience(t *testing.T) {
+	slow := func(g *gate, w http.ResponseWriter, r wire.ResumeRequest) {
+		g.frames(w, r, begin())
+		for range 10 {
+			time.Sleep(wire.HeartbeatInterval)
+			g.frames(w, r, beat())
+		}
+		g.frames(w, r, event(0), end(1))
+	}
+	breaking := []script{serve(begin(), event(0))}
+	for n := uint64(1); n < 3*maxResumes; n++ {
+		breaking = append(breaking, serve(running(), event(n)))
+	}
+	breaking = append(breaking, serve(running(), end(3*maxResumes)))
+	for events, scripts := range map[int][]script{1: {slow}, 3 * maxResumes: breaking} {
+		run(t, scripts, func(client *Client, _ *gate, _ *pipes) {
+			s, err := client.Begin(context.Background(), peer, request())
+			require.NoError(t, err)
+			data, err := collect(t, s)
+			require.NoError(t, err)
+			require.Len(t, data, events)
+			s.Close()
+		})
+	}
+}
+
 func TestLostAnswer(t *testing.T) {
 	unknown := wire.Frame{Kind: wire.FrameBegin, Outcome: wire.BeginUnknown}
 	run(t, []script{serve(begin(), event(0)), serve(unknown)}, func(client *Client, _ *gate, _ *pipes) {
