--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -34,7 +35,8 @@
 // callers is the callers' interface.
 type callers struct {
 	settings func() *settings.Tree
-	requests filter.Next // chat completions and plain services
+	active   *atomic.Int64 // requests in progress
+	requests filter.Next   // chat completions and plain services
 	models   filter.Next
 }
 
@@ -72,6 +74,8 @@
 
 func (c *callers) serve(chain filter.Next) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+		c.active.Add(1)
+		defer c.active.Add(-1)
 		request := &filter.Request{
 			ID:       uuid.New(),
 			HTTP:     r,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -32,6 +32,8 @@
 	// unreadyPause lets the balancer see that the router is not ready, while
 	// it still serves what comes.
 	unreadyPause = time.Second
+	// activePoll is how often the stop looks for requests in progress.
+	activePoll = 50 * time.Millisecond
 	// flushTimeout bounds what is written to the log at the end.
 	flushTimeout = 20 * time.Second
 )
@@ -61,7 +63,7 @@
 	bound    map[*http.Server]net.Addr
 	stop     sync.Once
 
-	stopBegun chan struct{} // closed once new requests are refused
+	refusing chan struct{} // closed once new requests are refused
 }
 
 // New returns a router that does nothing until Start.
@@ -73,7 +75,7 @@
 		failed:  make(chan error, 3),
 		bound:   map[*http.Server]net.Addr{},
 
-		stopBegun: make(chan struct{}),
+		refusing: make(chan struct{}),
 	}
 	r.node = node.New(node.Options{
 		Role:         fleet.RoleRouter,
@@ -195,7 +197,7 @@
 	internal := http.NewServeMux()
 	internal.Handle(wire.PathRPC, control)
 	r.internal = r.server(internal)
-	r.callers = r.server(markServing((&callers{settings: r.node.Settings, requests: r.requests, models: r.models}).handler()))
+	r.callers = r.server(markServing((&callers{settings: r.node.Settings, active: &r.state.active, requests: r.requests, models: r.models}).handler()))
 	r.callers.MaxHeaderBytes = maxHeaderBytes
 	r.callers.ConnContext = withHeaderConn
 	r.admin = r.server(r.adminHandler())
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -322,7 +322,7 @@
 
 	stopped := make(chan error, 1)
 	go func() { stopped <- r.Stop(w.soon()) }()
-	<-r.stopBegun
+	<-r.refusing
 	late := w.call(r, "POST", "/v1/chat/completions", chat+`}`)
 	require.Contains(t, w.read(late), `"code":"stopping"`)
 	ready, err := http.Get("http://" + r.AdminAddress() + "/readyz")
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -19,9 +19,10 @@
 
 func (r *Router) stopOnce(ctx context.Context) error {
 	r.log.Info().Msg("router stops")
-	r.state.stopping.Store(true)
-	close(r.stopBegun)
+	r.state.unready.Store(true)
 	pause(ctx, unreadyPause)
+	r.state.stopping.Store(true)
+	close(r.refusing)
 	err := r.finishRequests(ctx)
 	if err == nil {
 		err = r.leaveFleet()
@@ -40,11 +41,15 @@
 	return err
 }
 
-// finishRequests waits for every request in progress.
+// finishRequests waits for every request in progress. Until they are over,
+// those that still come are told that the router stops.
 func (r *Router) finishRequests(ctx context.Context) error {
 	if r.callers == nil {
 		return nil
 	}
+	for r.state.active.Load() > 0 && ctx.Err() == nil {
+		pause(ctx, activePoll)
+	}
 	return errors.Wrap(r.callers.Shutdown(ctx), "requests in progress")
 }
 
