--- a/internal/filter/stream/serve.go
+++ b/internal/filter/stream/serve.go
@@ -28,7 +28,7 @@
 func (a *attempt) serve(s Stream, ours bool) filter.Outcome {
 	header := a.r.Writer.Header()
 	header.Set(filter.HeaderRun, s.First().Run.String())
-	if !ours || s.First().Outcome != wire.BeginStarted {
+	if !ours {
 		header.Set(filter.HeaderReplayed, "true")
 	}
 	d := &delivery{attempt: a, stream: s, sink: newSink(a.r), ours: ours}
--- a/internal/measure/placement/placement.go
+++ b/internal/measure/placement/placement.go
@@ -57,21 +57,31 @@
 	}
 }
 
-// measureLeaving tells how long after a server has said that it leaves the
-// routers still placed runs there. Its gate refuses them at once in any case.
+// measureLeaving tells how long after a server has said that it leaves a
+// router still placed a run there, at most, over the servers and moments
+// between two reports. The gate itself refuses from the first moment.
 func measureLeaving(_ context.Context, emit measure.Emit) error {
 	const leaves = 60 * time.Second
+	trace := newTrace(loads[0], simRouters)
+	last := time.Duration(0)
+	for i := range simServers {
+		at := leaves + reportInterval*time.Duration(i)/simServers
+		last = max(last, lastPlacement(trace, i, at)-at)
+	}
+	emit("leaving.last_new_work_ms", float64(last)/float64(time.Millisecond), "ms")
+	return nil
+}
+
+// lastPlacement returns when the last run was placed at a server that leaves.
+func lastPlacement(trace []request, leaving int, at time.Duration) time.Duration {
 	s := newSimulation(placement.Chosen)
 	for i := range s.pickers {
 		s.poll(i, reportInterval*time.Duration(i+1)/simRouters)
 	}
-	trace := newTrace(loads[0], simRouters)
 	for i := range trace {
 		s.clock.at(trace[i].at, func() { s.place(&trace[i]) })
 	}
-	s.clock.at(leaves, func() { s.servers[0].leaving = true })
-	s.clock.runUntil(traceLength)
-	last := max(0, s.result.lastPlaced-leaves)
-	emit("leaving.last_new_work_ms", float64(last)/float64(time.Millisecond), "ms")
-	return nil
+	s.clock.at(at, func() { s.servers[leaving].leaving = true })
+	s.clock.runUntil(at + 10*reportInterval)
+	return s.result.lastPlaced
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -17,12 +17,14 @@
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/camphorlever/camphorlever/internal/filter"
 	"github.com/camphorlever/camphorlever/internal/fleet"
 	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/ledger"
 	"github.com/camphorlever/camphorlever/internal/memlog"
 	"github.com/camphorlever/camphorlever/internal/node"
 	"github.com/camphorlever/camphorlever/internal/record"
+	"github.com/camphorlever/camphorlever/internal/refusal"
 	"github.com/camphorlever/camphorlever/internal/rpc"
 	"github.com/camphorlever/camphorlever/internal/settings"
 	"github.com/camphorlever/camphorlever/internal/vmlist"
@@ -307,6 +309,18 @@
 	require.Empty(t, s.runs)
 }
 
+func TestErrorEndsAStreamThatHasBegun(t *testing.T) {
+	recorder := httptest.NewRecorder()
+	r := &filter.Request{ID: ident.NewNonce(), Writer: filter.NewWriter(recorder, time.Second)}
+	_, err := r.Writer.Write([]byte("data: {}\n\n"))
+	require.NoError(t, err)
+	finish(r, refusal.New(refusal.BackendFailed, refusal.DidRun, "Lost."))
+	require.Equal(t, http.StatusOK, recorder.Code)
+	last, ok := strings.CutPrefix(recorder.Body.String(), "data: {}\n\ndata: ")
+	require.True(t, ok)
+	require.JSONEq(t, `{"error":{"code":"backend_failed","message":"Lost.","ran":"ran","request_id":"`+r.ID.String()+`"}}`, last)
+}
+
 func TestStopFinishesStreamsAndRefusesNewRequests(t *testing.T) {
 	w := newWorld(t)
 	r := w.router("a")
