--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -63,12 +63,18 @@
 		return 200, `{"secret":"s"}`
 	case isTree && r.Method == http.MethodGet:
 		s, ok := f.trees[tree]
-		if !ok {
+		if !ok || string(s.Value) == "null" {
 			return 404, `{"error":{"code":"bad_request","message":"no such path"}}`
 		}
 		return 200, mustEncode(s)
 	case isTree:
 		return f.change(tree, r)
+	case strings.HasPrefix(path, "history/"):
+		s, ok := f.trees[strings.TrimPrefix(path, "history/")]
+		if !ok {
+			return 404, `{"error":{"code":"not_found","message":"no such path"}}`
+		}
+		return 200, mustEncode(map[string]any{"changes": []Subtree{s}})
 	}
 	return 200, `{"members":[{"vm":"a","leaving":false},{"vm":"b","addr":"x"}],"in_force":{"n":2,"m":2}}`
 }
@@ -217,6 +223,21 @@
 	require.ErrorContains(t, err, "conflicting_version")
 }
 
+func TestRemovedSubtreeIsMadeAgain(t *testing.T) {
+	f, url := fixture(t)
+	for _, step := range [][]string{
+		{"settings", "set", "models/plots"},
+		{"settings", "remove", "models/plots"},
+		{"settings", "set", "models/plots"},
+	} {
+		_, _, err := ctl(t, `{"version":"v1"}`, []string{url}, step...)
+		require.NoError(t, err)
+	}
+	require.Equal(t, int64(2), int64(f.trees["models/plots"].Version))
+	_, _, err := ctl(t, "", []string{url}, "settings", "remove", "models/none")
+	require.ErrorContains(t, err, "there is nothing")
+}
+
 func TestApplyLeavesEqualSubtreesAlone(t *testing.T) {
 	f, url := fixture(t)
 	file := filepath.Join(t.TempDir(), "sample.json")
--- a/internal/ctl/settings.go
+++ b/internal/ctl/settings.go
@@ -35,6 +35,7 @@
 	Get     settingsGet     `cmd:"" help:"Show a subtree."`
 	Set     settingsSet     `cmd:"" help:"Replace a subtree, if it still has the version that it was made against."`
 	Apply   settingsApply   `cmd:"" help:"Set every subtree of a file that maps paths to values; equal ones are left alone."`
+	Remove  settingsRemove  `cmd:"" help:"Remove a subtree."`
 	Diff    settingsDiff    `cmd:"" help:"Show what a change would do."`
 	History settingsHistory `cmd:"" help:"Show the changes of a subtree."`
 }
@@ -73,6 +74,23 @@
 	return s.change(c.Path, Change{ID: orNew(c.ID), Base: base, Value: value}, c.DryRun)
 }
 
+type settingsRemove struct {
+	Path   string `arg:"" help:"Path of the subtree."`
+	DryRun bool   `help:"Only check, and show the difference."`
+}
+
+func (c *settingsRemove) Run(s *Session) error {
+	present, err := s.subtree(c.Path)
+	if err != nil {
+		return err
+	}
+	if len(present.Value) == 0 {
+		return errors.Errorf("there is nothing at %s", c.Path)
+	}
+	removal := Change{ID: orNew(""), Base: present.Version, Value: json.RawMessage("null")}
+	return s.change(c.Path, removal, c.DryRun)
+}
+
 type settingsDiff struct {
 	Path string `arg:"" help:"Path of the subtree."`
 	File string `arg:"" help:"JSON file, - for standard input." default:"-"`
@@ -130,15 +148,31 @@
 	return nil
 }
 
-// subtree reads a subtree; one that is not there has no version.
+// subtree reads a subtree. One that is not there has no value; if it was
+// removed it still has the version of its removal.
 func (s *Session) subtree(path string) (Subtree, error) {
 	var present Subtree
 	err := s.client.Get(s.ctx, "settings/"+path, &present)
-	var refused *Refused
-	if errors.As(err, &refused) && refused.Status == http.StatusNotFound {
-		return Subtree{Path: path, Version: ident.NoOffset}, nil
+	if !isNotFound(err) {
+		return present, err
+	}
+	removed := Subtree{Path: path, Version: ident.NoOffset}
+	var history struct {
+		Changes []Subtree `json:"changes"` // newest first
+	}
+	err = s.client.Get(s.ctx, "history/"+path, &history)
+	if err == nil && len(history.Changes) > 0 {
+		removed.Version = history.Changes[0].Version
 	}
-	return present, err
+	if isNotFound(err) {
+		err = nil
+	}
+	return removed, err
+}
+
+func isNotFound(err error) bool {
+	var refused *Refused
+	return errors.As(err, &refused) && refused.Status == http.StatusNotFound
 }
 
 // change sends a change and prints the answer.
