End-to-end test: an order that ran is never called not run

It fails: an order that ran, retried with its key at another router while the log is down, is refused with log_unavailable and not_run, 12 of 12. The claim cannot be written then, and the claim that the router has read before is not looked at.

--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/settings"
 )
 
 // streams sends requests with long answers to one router, all at once, and
@@ -248,3 +249,52 @@
 	report := f.report()
 	require.Zero(t, report.Held(), "tokens are held after all have stopped: %+v", report.Open)
 }
+
+// orders is how many keys make it likely that both order desks get some.
+const orders = 12
+
+func TestOrderRetriedInAnOutageIsNeverCalledNotRun(t *testing.T) {
+	f := newFleet(t, 1, time.Millisecond)
+	f.secondDesk()
+	for i := range orders {
+		require.Empty(t, wrongOrder(f.order(0, fmt.Sprintf("paid-%d", i))))
+	}
+	f.faults(f.platform, `{"log":"down"}`)
+	f.routers[0].signal(syscall.SIGKILL)
+	group := conc.NewWaitGroup()
+	for i := range orders {
+		group.Go(func() {
+			reply := f.order(1, fmt.Sprintf("paid-%d", i))
+			if reply.Refusal != nil && reply.Refusal.Ran == "not_run" {
+				t.Errorf("order %d ran, and a retry of it was told %+v", i, *reply.Refusal)
+			}
+		})
+	}
+	group.Wait()
+	f.faults(f.platform, `{"log":"up"}`)
+	for i := range orders {
+		f.succeeds(func() string { return wrongOrder(f.order(1, fmt.Sprintf("paid-%d", i))) })
+	}
+	for _, d := range f.desks {
+		require.NotEmpty(t, f.runs(d), "all orders went to one desk")
+		for key, n := range f.runs(d) {
+			require.Equal(t, 1, n, key)
+			for _, other := range f.desks {
+				require.True(t, other == d || f.runs(other)[key] == 0, "%s ran at two desks", key)
+			}
+		}
+	}
+}
+
+// secondDesk starts another order desk and waits until both routers use it.
+func (f *fleet) secondDesk() {
+	f.change("servers/desk-1", settings.Server{VM: vmOf("desk-1"), DataCentre: "waco", Services: []ident.ServiceID{desk}, Slots: 16})
+	f.desks = append(f.desks, f.server("desk-1", "--service"))
+	for i := range f.routers {
+		before := len(f.runs(f.desks[1]))
+		for n := 0; len(f.runs(f.desks[1])) == before; n++ {
+			require.Less(f.t, n, 2000, "the second desk gets no order")
+			f.order(i, fmt.Sprintf("try-%d-%d", i, n))
+		}
+	}
+}
