--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -223,7 +223,8 @@
 }
 
 func TestGracefulStopCutsNothingOff(t *testing.T) {
-	f := newFleet(t, 1, 2*time.Millisecond)
+	// The answers take longer than a stopping router waits for its balancer.
+	f := newFleet(t, 1, 8*time.Millisecond)
 	var mu sync.Mutex // guards wrong
 	var wrong []string
 	group := conc.NewWaitGroup()
