Claims that were read are followed while the log is down

A claim never changes its gate, so the router asks that gate without the log. The tests failed first without the look-up.

--- a/internal/filter/once/handler.go
+++ b/internal/filter/once/handler.go
@@ -6,6 +6,7 @@
 
 	"github.com/camphorlever/camphorlever/internal/counter"
 	"github.com/camphorlever/camphorlever/internal/filter"
+	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/refusal"
 )
 
@@ -24,6 +25,10 @@
 	if !r.Once {
 		return next(ctx, r)
 	}
+	// A claim never changes its gate, so one that was read needs no log.
+	if gate, known := h.claims.Known(r.Caller.Team, r.Key); known {
+		return h.follow(ctx, r, gate, next)
+	}
 	bounded, cancel := context.WithTimeout(ctx, claimTimeout)
 	claim, err := h.claims.Claim(bounded, r.Caller.Team, r.Key, r.Target.Gate)
 	cancel()
@@ -38,13 +43,13 @@
 		h.counters.Inc("claimed")
 		return final(next(ctx, r))
 	}
-	return h.follow(ctx, r, claim, next)
+	return h.follow(ctx, r, claim.Gate, next)
 }
 
 // follow asks the gate of an earlier claim: it starts the key if no earlier
 // request reached it, or gives the answer of the run that it made.
-func (h *handler) follow(ctx context.Context, r *filter.Request, claim Claim, next filter.Next) filter.Outcome {
-	target, ok := h.members.Gate(claim.Gate)
+func (h *handler) follow(ctx context.Context, r *filter.Request, gate ident.Incarnation, next filter.Next) filter.Outcome {
+	target, ok := h.members.Gate(gate)
 	if !ok {
 		h.counters.Inc("gate_gone")
 		return filter.Refused(refusal.OutcomeUnknown, refusal.Unknown,
--- a/internal/filter/once/once_test.go
+++ b/internal/filter/once/once_test.go
@@ -13,6 +13,7 @@
 )
 
 type fakes struct {
+	known ident.Incarnation
 	claim Claim
 	err   error
 	live  map[ident.Incarnation]bool
@@ -24,6 +25,10 @@
 	return f.claim, f.err
 }
 
+func (f *fakes) Known(ident.TeamID, ident.Key) (ident.Incarnation, bool) {
+	return f.known, f.known != 0
+}
+
 func (f *fakes) Gate(gate ident.Incarnation) (filter.Target, bool) {
 	return filter.Target{Gate: gate}, f.live[gate]
 }
@@ -43,6 +48,8 @@
 		"claimed before, same":     {fakes{claim: Claim{Gate: 7}, live: map[ident.Incarnation]bool{7: true}}, true, 7, "", "", 1},
 		"claimed for another gate": {fakes{claim: Claim{Gate: 9}, live: map[ident.Incarnation]bool{9: true}}, true, 9, "", "", 1},
 		"claimed for a dead gate":  {fakes{claim: Claim{Gate: 9}}, true, 0, refusal.OutcomeUnknown, refusal.Unknown, 1},
+		"log down, claim read":     {fakes{err: errors.New("down"), known: 9, live: map[ident.Incarnation]bool{9: true}}, true, 9, "", "", 0},
+		"log down, dead gate read": {fakes{err: errors.New("down"), known: 9}, true, 0, refusal.OutcomeUnknown, refusal.Unknown, 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/filter/once/setup.go
+++ b/internal/filter/once/setup.go
@@ -18,6 +18,8 @@
 // Claims writes claims. An error means that the verdict is not known.
 type Claims interface {
 	Claim(ctx context.Context, team ident.TeamID, key ident.Key, gate ident.Incarnation) (Claim, error)
+	// Known returns the gate of a claim that this router has read already.
+	Known(team ident.TeamID, key ident.Key) (ident.Incarnation, bool)
 }
 
 // Members finds the gate that an earlier claim names.
--- a/internal/router/claims.go
+++ b/internal/router/claims.go
@@ -11,9 +11,10 @@
 	"github.com/camphorlever/camphorlever/internal/record"
 )
 
-// submitter writes to the ledger and returns the fold's verdicts.
+// submitter writes to the ledger and reads its fold.
 type submitter interface {
 	Submit(ctx context.Context, team ident.TeamID, records ...record.Record) ([]ledger.Verdict, error)
+	View(team ident.TeamID, visit func(*ledger.State))
 }
 
 // claims writes claims to the ledger.
@@ -43,3 +44,13 @@
 		return once.Claim{}, errors.Errorf("claim was refused with outcome %d", v.Outcome)
 	}
 }
+
+// Known implements once.Claims.
+func (c *claims) Known(team ident.TeamID, key ident.Key) (gate ident.Incarnation, known bool) {
+	c.ledger.View(team, func(s *ledger.State) {
+		var holder ledger.ClaimHolder
+		holder, known = s.Claim(key)
+		gate = holder.Gate
+	})
+	return gate, known
+}
