A retry of an order in a log outage is told what the gates know, not 'not run'

Cause: with the log down a request that must not be repeated was refused as log_unavailable, not_run, also when an earlier request with the same key had run through another router. Ruled out: answering unknown to all such requests; a first request would then hear that it may have run although nothing can have. Now: a claim that was read before is followed; without one all gates that serve the request are asked; a gate that has run the key gives its answer, a silent one makes the outcome unknown, and only if all deny it, it is not_run. Left open: a router that is paused between its claim and its begin, while the log is down for the router that is asked, can still begin later.

--- a/internal/filter/once/handler.go
+++ b/internal/filter/once/handler.go
@@ -2,19 +2,19 @@
 
 import (
 	"context"
-	"time"
+
+	"github.com/sourcegraph/conc"
 
 	"github.com/camphorlever/camphorlever/internal/counter"
 	"github.com/camphorlever/camphorlever/internal/filter"
 	"github.com/camphorlever/camphorlever/internal/refusal"
+	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
-// claimTimeout bounds the wait for the ledger's verdict.
-const claimTimeout = 5 * time.Second
-
 type handler struct {
 	claims   Claims
 	members  Members
+	gates    Gates
 	counters *counter.Set
 }
 
@@ -28,11 +28,8 @@
 	claim, err := h.claims.Claim(bounded, r.Caller.Team, r.Key, r.Target.Gate)
 	cancel()
 	if err != nil {
-		// Nobody has asked a gate to begin, so this request cannot have run,
-		// whether or not the claim is written.
 		h.counters.Inc("log_unavailable")
-		return filter.Refused(refusal.LogUnavailable, refusal.NotRun,
-			"The request must not be repeated and cannot be claimed now.")
+		return h.unclaimed(ctx, r, next)
 	}
 	if claim.Won {
 		h.counters.Inc("claimed")
@@ -58,6 +55,60 @@
 	return final(next(ctx, r))
 }
 
+// unclaimed serves a request whose claim has no verdict. This request has not
+// run, since no gate was asked; an earlier one with the same key may have.
+func (h *handler) unclaimed(ctx context.Context, r *filter.Request, next filter.Next) filter.Outcome {
+	if gate, ok := h.claims.Find(r.Caller.Team, r.Key); ok {
+		return h.follow(ctx, r, Claim{Gate: gate}, next)
+	}
+	if !r.Keyed() {
+		return notClaimed()
+	}
+	found, silent := h.ask(ctx, r)
+	switch {
+	case found != nil:
+		return h.follow(ctx, r, Claim{Gate: found.Gate}, next)
+	case silent:
+		h.counters.Inc("no_reply")
+		return filter.Refused(refusal.OutcomeUnknown, refusal.Unknown,
+			"The request cannot be claimed now, and a backend server that may have run it before does not answer.")
+	default:
+		return notClaimed()
+	}
+}
+
+func notClaimed() filter.Outcome {
+	return filter.Refused(refusal.LogUnavailable, refusal.NotRun,
+		"The request must not be repeated and cannot be claimed now.")
+}
+
+// ask looks for the gate that has run the key, and tells whether any that may
+// have did not answer.
+func (h *handler) ask(ctx context.Context, r *filter.Request) (found *filter.Target, silent bool) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	targets := h.members.Gates(r)
+	replies := make([]wire.LookupReply, len(targets))
+	failed := make([]bool, len(targets))
+	var wg conc.WaitGroup
+	for i, target := range targets {
+		wg.Go(func() {
+			reply, err := h.gates.Lookup(ctx, target, r.Key)
+			replies[i] = reply
+			failed[i] = err != nil
+		})
+	}
+	wg.Wait()
+	for i := range targets {
+		state := replies[i].State
+		if state == wire.KeyRunning || state == wire.KeyDone {
+			return &targets[i], false
+		}
+		silent = silent || failed[i]
+	}
+	return nil, silent
+}
+
 // final forbids another attempt: the claim names one gate only.
 func final(out filter.Outcome) filter.Outcome {
 	out.Retry = ""
--- a/internal/filter/once/once_test.go
+++ b/internal/filter/once/once_test.go
@@ -10,13 +10,32 @@
 	"github.com/camphorlever/camphorlever/internal/filter"
 	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/refusal"
+	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
 type fakes struct {
-	claim Claim
-	err   error
-	live  map[ident.Incarnation]bool
-	asked int
+	claim  Claim
+	err    error
+	found  ident.Incarnation // of a claim that was read before
+	live   map[ident.Incarnation]bool
+	states map[ident.Incarnation]wire.KeyState // of gates that answer
+	asked  int
+}
+
+func (f *fakes) Find(ident.TeamID, ident.Key) (ident.Incarnation, bool) {
+	return f.found, f.found != 0
+}
+
+func (f *fakes) Gates(*filter.Request) []filter.Target {
+	return []filter.Target{{Gate: 7}, {Gate: 9}}
+}
+
+func (f *fakes) Lookup(_ context.Context, t filter.Target, _ ident.Key) (wire.LookupReply, error) {
+	state, ok := f.states[t.Gate]
+	if !ok {
+		return wire.LookupReply{}, errors.New("no reply")
+	}
+	return wire.LookupReply{State: state}, nil
 }
 
 func (f *fakes) Claim(context.Context, ident.TeamID, ident.Key, ident.Incarnation) (Claim, error) {
@@ -29,6 +48,11 @@
 }
 
 func TestClaimComesBeforeTheGate(t *testing.T) {
+	down := errors.New("unknown")
+	both := map[ident.Incarnation]bool{7: true, 9: true}
+	state := func(of7, of9 wire.KeyState) map[ident.Incarnation]wire.KeyState {
+		return map[ident.Incarnation]wire.KeyState{7: of7, 9: of9}
+	}
 	cases := map[string]struct {
 		fakes fakes
 		once  bool
@@ -39,7 +63,12 @@
 	}{
 		"repeatable":               {fakes{}, false, 7, "", "", 0},
 		"won":                      {fakes{claim: Claim{Won: true, Gate: 7}}, true, 7, "", "", 1},
-		"log down, reply lost":     {fakes{err: errors.New("unknown")}, true, 0, refusal.LogUnavailable, refusal.NotRun, 1},
+		"log down, never asked":    {fakes{err: down, states: state(wire.KeyUnknown, wire.KeySealed)}, true, 0, refusal.LogUnavailable, refusal.NotRun, 1},
+		"log down, claim known":    {fakes{err: down, found: 9, live: both}, true, 9, "", "", 1},
+		"log down, its gate dead":  {fakes{err: down, found: 9}, true, 0, refusal.OutcomeUnknown, refusal.Unknown, 1},
+		"log down, runs elsewhere": {fakes{err: down, live: both, states: state(wire.KeyUnknown, wire.KeyRunning)}, true, 9, "", "", 1},
+		"log down, has run":        {fakes{err: down, live: both, states: state(wire.KeyDone, wire.KeyUnknown)}, true, 7, "", "", 1},
+		"log down, a gate silent":  {fakes{err: down, live: both, states: map[ident.Incarnation]wire.KeyState{7: wire.KeyUnknown}}, true, 0, refusal.OutcomeUnknown, refusal.Unknown, 1},
 		"claimed before, same":     {fakes{claim: Claim{Gate: 7}, live: map[ident.Incarnation]bool{7: true}}, true, 7, "", "", 1},
 		"claimed for another gate": {fakes{claim: Claim{Gate: 9}, live: map[ident.Incarnation]bool{9: true}}, true, 9, "", "", 1},
 		"claimed for a dead gate":  {fakes{claim: Claim{Gate: 9}}, true, 0, refusal.OutcomeUnknown, refusal.Unknown, 1},
@@ -47,9 +76,9 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			f := c.fakes
-			r := &filter.Request{Once: c.once, Target: filter.Target{Gate: 7}, Placed: filter.Unplaced{}}
+			r := &filter.Request{Once: c.once, CallerKey: "order", Target: filter.Target{Gate: 7}, Placed: filter.Unplaced{}}
 			var begun ident.Incarnation
-			out := New(&f, &f).Handle(t.Context(), r, func(_ context.Context, r *filter.Request) filter.Outcome {
+			out := New(&f, &f, &f).Handle(t.Context(), r, func(_ context.Context, r *filter.Request) filter.Outcome {
 				begun = r.Target.Gate
 				return filter.Outcome{Retry: "anything"}
 			})
--- a/internal/filter/once/setup.go
+++ b/internal/filter/once/setup.go
@@ -4,9 +4,19 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/camphorlever/camphorlever/internal/filter"
 	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/wire"
+)
+
+const (
+	// claimTimeout bounds the wait for the ledger's verdict.
+	claimTimeout = 5 * time.Second
+	// lookupTimeout bounds the search for an earlier run while the log
+	// cannot be asked.
+	lookupTimeout = time.Second
 )
 
 // Claim is the ledger's verdict on a claim.
@@ -18,15 +28,24 @@
 // Claims writes claims. An error means that the verdict is not known.
 type Claims interface {
 	Claim(ctx context.Context, team ident.TeamID, key ident.Key, gate ident.Incarnation) (Claim, error)
+	// Find returns the gate of a claim that has been read from the log.
+	Find(team ident.TeamID, key ident.Key) (ident.Incarnation, bool)
+}
+
+// Gates asks gates about keys.
+type Gates interface {
+	Lookup(ctx context.Context, target filter.Target, key ident.Key) (wire.LookupReply, error)
 }
 
 // Members finds the gate that an earlier claim names.
 type Members interface {
 	// Gate returns false if that life is over or sealed.
 	Gate(gate ident.Incarnation) (filter.Target, bool)
+	// Gates returns all that may have run the request before.
+	Gates(r *filter.Request) []filter.Target
 }
 
 // New returns the filter.
-func New(claims Claims, members Members) filter.Filter {
-	return &handler{claims: claims, members: members, counters: filter.Counters("once")}
+func New(claims Claims, members Members, gates Gates) filter.Filter {
+	return &handler{claims: claims, members: members, gates: gates, counters: filter.Counters("once")}
 }
--- a/internal/router/chain.go
+++ b/internal/router/chain.go
@@ -81,7 +81,7 @@
 			retryfilter.New(retry.NewBudget(nil)),
 			admission,
 			place.New(placed),
-			once.New(p.claims, p.directory),
+			once.New(p.claims, p.directory, p.gates),
 			streams,
 		),
 	}
--- a/internal/router/claims.go
+++ b/internal/router/claims.go
@@ -11,14 +11,15 @@
 	"github.com/camphorlever/camphorlever/internal/record"
 )
 
-// submitter writes to the ledger and returns the fold's verdicts.
-type submitter interface {
+// claimLedger writes to the ledger and reads its fold.
+type claimLedger interface {
 	Submit(ctx context.Context, team ident.TeamID, records ...record.Record) ([]ledger.Verdict, error)
+	View(team ident.TeamID, visit func(*ledger.State))
 }
 
 // claims writes claims to the ledger.
 type claims struct {
-	ledger submitter
+	ledger claimLedger
 }
 
 // Claim implements once.Claims.
@@ -43,3 +44,11 @@
 		return once.Claim{}, errors.Errorf("claim was refused with outcome %d", v.Outcome)
 	}
 }
+
+// Find implements once.Claims.
+func (c *claims) Find(team ident.TeamID, key ident.Key) (ident.Incarnation, bool) {
+	var holder ledger.ClaimHolder
+	var found bool
+	c.ledger.View(team, func(s *ledger.State) { holder, found = s.Claim(key) })
+	return holder.Gate, found
+}
--- a/internal/router/directory.go
+++ b/internal/router/directory.go
@@ -114,6 +114,18 @@
 	return filter.Target{Server: m.Registration.Server, Gate: gate, Address: m.Registration.Address}, true
 }
 
+// Gates implements once.Members: all gates that are not over and serve what
+// the request asks for, also those that leave.
+func (d *directory) Gates(r *filter.Request) []filter.Target {
+	var targets []filter.Target
+	for _, s := range d.servers(d.node.Settings(), d.node.Members()) {
+		if s.Serves(want(r)) {
+			targets = append(targets, target(s))
+		}
+	}
+	return targets
+}
+
 func target(s *placement.Server) filter.Target {
 	return filter.Target{Server: s.ID, Gate: s.Gate, Address: s.Address}
 }
