--- a/internal/router/claims.go
+++ b/internal/router/claims.go
@@ -11,15 +11,15 @@
 	"github.com/camphorlever/camphorlever/internal/record"
 )
 
-// claimLedger writes to the ledger and reads its fold.
-type claimLedger interface {
+// submitter writes to the ledger and reads its fold.
+type submitter interface {
 	Submit(ctx context.Context, team ident.TeamID, records ...record.Record) ([]ledger.Verdict, error)
 	View(team ident.TeamID, visit func(*ledger.State))
 }
 
 // claims writes claims to the ledger.
 type claims struct {
-	ledger claimLedger
+	ledger submitter
 }
 
 // Claim implements once.Claims.
@@ -45,10 +45,12 @@
 	}
 }
 
-// Find implements once.Claims.
-func (c *claims) Find(team ident.TeamID, key ident.Key) (ident.Incarnation, bool) {
-	var holder ledger.ClaimHolder
-	var found bool
-	c.ledger.View(team, func(s *ledger.State) { holder, found = s.Claim(key) })
-	return holder.Gate, found
+// Known implements once.Claims.
+func (c *claims) Known(team ident.TeamID, key ident.Key) (gate ident.Incarnation, known bool) {
+	c.ledger.View(team, func(s *ledger.State) {
+		var holder ledger.ClaimHolder
+		holder, known = s.Claim(key)
+		gate = holder.Gate
+	})
+	return gate, known
 }
