--- a/internal/measure/control/appends.go
+++ b/internal/measure/control/appends.go
@@ -41,15 +41,18 @@
 	}
 	refused := c.load(ctx, d, warmUp, seed)
 	before := countEntries(ctx, c.log)
-	began := time.Now()
+	began, used := time.Now(), processorTime()
 	refused += c.load(ctx, d, loadSpan, seed+1)
 	seconds := time.Since(began).Seconds()
+	used = processorTime() - used
 	after := countEntries(ctx, c.log)
 	name := "ledger.appends_per_s." + d.name
 	emit(name, (after.ledgerAppends-before.ledgerAppends)/seconds, "appends_per_s")
 	emit("log.appends_per_s."+d.name, (after.appends-before.appends)/seconds, "appends_per_s")
 	emit("log.bytes_per_s."+d.name, (after.bytes-before.bytes)/seconds, "bytes_per_s")
 	emit("log.requests_per_s."+d.name, float64(d.workers)*d.requests, "requests_per_s")
+	// The load and the log in memory are part of it, so it is an upper bound.
+	emit("control.cpu_per_process."+d.name, used.Seconds()/seconds/float64(len(c.nodes))*100, "percent_of_core")
 	emit("log.refused."+d.name, float64(refused), "requests")
 	for _, reason := range slices.Sorted(maps.Keys(after.records)) {
 		emit("log.records_per_s."+d.name+"."+reason, (after.records[reason]-before.records[reason])/seconds, "records_per_s")
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -453,3 +453,32 @@
 		}
 	}
 }
+
+// What was submitted before the process has an identity is written soon after
+// it has one; what is submitted then is written at once.
+func TestAWriterWithoutAnIdentityWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New()
+		var identity atomic.Uint64
+		p := &process{Follower: NewFollower(log, sumSpec(1), zerolog.Nop())}
+		p.writer = NewWriter(p.Follower, func() ident.Incarnation { return ident.Incarnation(identity.Load()) })
+		ctx, cancel := context.WithCancel(t.Context())
+		p.cancel = cancel
+		p.work.Go(func() { p.Follower.Run(ctx) })
+		p.work.Go(func() { p.writer.Run(ctx) })
+		defer p.stop()
+		synctest.Wait()
+		identity.Store(7)
+		began := time.Now()
+		_, err := p.add(t, 1)
+		require.NoError(t, err)
+		require.Zero(t, time.Since(began))
+		identity.Store(0)
+		time.AfterFunc(time.Minute, func() { identity.Store(7) })
+		_, err = p.writer.Submit(within(t, time.Hour), add(t, 2))
+		require.NoError(t, err)
+		require.LessOrEqual(t, time.Since(began), time.Minute+backoffBase)
+		sum, _ := p.state()
+		require.Equal(t, 3, sum)
+	})
+}
--- a/internal/stream/writer.go
+++ b/internal/stream/writer.go
@@ -143,7 +143,7 @@
 		}
 		select {
 		case <-w.ready:
-			if writer == 0 {
+			if w.identity() == 0 {
 				sleep(ctx, backoffBase, nil)
 				w.signal()
 			}
