RPC server: a connection whose client went silent is closed after ten heartbeats

net/rpc waits for the next request without a limit, so a client that vanished without closing left a goroutine and a connection behind for good. Seen failing without the bound.

--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -193,6 +193,29 @@
 	})
 }
 
+// A server lets go of a client that went silent, and of none that is only slow
+// to call.
+func TestServerClosesSilentConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := NewServer("fleet")
+		require.NoError(t, server.Register("Peer", &Peer{}))
+		near, far := net.Pipe()
+		closed := make(chan time.Time, 1)
+		go func() {
+			server.serveConn(far)
+			closed <- time.Now()
+		}()
+		client := rpc.NewClient(near)
+		for range 60 {
+			time.Sleep(wire.HeartbeatInterval)
+			require.NoError(t, client.Call("Peer.Ping", &wire.PingArgs{}, &wire.PingReply{}))
+		}
+		last := time.Now()
+		require.Equal(t, silentTimeout, (<-closed).Sub(last))
+		client.Close()
+	})
+}
+
 func TestServerWantsTheFleetKey(t *testing.T) {
 	server := NewServer("fleet")
 	require.NoError(t, server.Register("Peer", &Peer{}))
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -3,8 +3,10 @@
 import (
 	"crypto/subtle"
 	"io"
+	"net"
 	"net/http"
 	"net/rpc"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -15,6 +17,10 @@
 // connected is the status line that net/rpc servers answer CONNECT with.
 const connected = "200 Connected to Go RPC"
 
+// silentTimeout is how long a connection may carry nothing. Clients send a
+// heartbeat each wire.HeartbeatInterval and close connections without calls.
+const silentTimeout = 10 * wire.HeartbeatInterval
+
 var served = counter.NewSet("rpc_server")
 
 // Server serves net/rpc services on wire.PathRPC to those who know the fleet
@@ -55,7 +61,34 @@
 		conn.Close()
 		return
 	}
-	s.rpc.ServeConn(conn)
+	s.serveConn(conn)
+}
+
+// serveConn serves calls until the client closes the connection or sends
+// nothing, not even heartbeats, for silentTimeout.
+func (s *Server) serveConn(conn net.Conn) {
+	s.rpc.ServeConn(&bounded{Conn: conn})
+}
+
+// bounded is a connection on which each read and write must end in time.
+type bounded struct {
+	net.Conn
+}
+
+// Read fails when nothing arrives within silentTimeout.
+func (b *bounded) Read(p []byte) (int, error) {
+	if err := b.SetReadDeadline(time.Now().Add(silentTimeout)); err != nil {
+		return 0, err
+	}
+	return b.Conn.Read(p)
+}
+
+// Write fails when nothing is taken within silentTimeout.
+func (b *bounded) Write(p []byte) (int, error) {
+	if err := b.SetWriteDeadline(time.Now().Add(silentTimeout)); err != nil {
+		return 0, err
+	}
+	return b.Conn.Write(p)
 }
 
 // HasFleetKey reports whether a request carries the fleet's own key. An empty
