Grants: a stopping lender recalls its loans, a sealed one does not drain

A router that stops waited for loans until its borrowers left them idle for 30 seconds, longer than the 20 seconds it has; with the floor in the home routers' hands most have loans out. It now calls its borrowers (BorrowArgs.Recall); they use the loans no further and repay them with their next round.

--- a/internal/budget/bound.go
+++ b/internal/budget/bound.go
@@ -42,7 +42,7 @@
 	defer h.mu.Unlock()
 	largest := h.own.free
 	for _, s := range h.loans {
-		if !s.revoked {
+		if s.usable() {
 			largest = max(largest, s.free)
 		}
 	}
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -89,7 +89,8 @@
 	shards [shardCount]shard
 	debts  debts
 	loans  loanBook
-	fenced atomic.Bool
+	fenced atomic.Bool // admits nothing
+	sealed atomic.Bool // for good, by others
 	health health
 	known  atomic.Pointer[roster]
 	kick   chan *hand // hands whose draw is due before the next tick
@@ -176,7 +177,8 @@
 // Fence stops all admission for good: this life was sealed. The runs that were
 // admitted are left to the gates and the other witness.
 func (g *Grants) Fence() {
-	if !g.fenced.Swap(true) {
+	g.fenced.Store(true)
+	if !g.sealed.Swap(true) {
 		g.log.Warn().Msg("Sealed: no further admission.")
 	}
 }
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -265,7 +265,12 @@
 	}{
 		{"idle", func(*world) {}, true},
 		{"a run is in progress", func(w *world) { w.mustAcquire(1, 10) }, false},
-		{"a loan is out", func(w *world) { w.mustAcquire(2, 400) }, false},
+		{"a loan is in use", func(w *world) { w.mustAcquire(2, 400) }, false},
+		{"a loan is out and comes back when recalled", func(w *world) {
+			w.routers[2].Settle(w.mustAcquire(2, 400), 0)
+			time.AfterFunc(500*time.Millisecond, func() { w.routers[2].Tick(context.Background()) })
+		}, true},
+		{"sealed", func(w *world) { w.routers[1].Fence() }, false},
 		{"a loan was used and settled", func(w *world) {
 			r := w.mustAcquire(2, 400)
 			w.settle(ident.RunID{Gate: 50, Number: 1}, 1, 400)
@@ -299,6 +304,22 @@
 	}
 }
 
+func TestARecalledLoanPaysForNothingMore(t *testing.T) {
+	w := newWorld(t, 2, testPolicy)
+	w.topUp("x", 1000)
+	w.routers[2].Settle(w.mustAcquire(2, 1000), 0)
+	r := w.mustAcquire(1, 300)
+	w.routers[2].recall(context.Background())
+	w.routers[1].Settle(r, 50)
+	_, outcome := w.routers[1].Reserve("a", 100)
+	require.Equal(t, Short, outcome)
+	w.routers[1].repayIdle(context.Background(), w.routers[1].hand("a"), w.now, time.Hour)
+	own, _ := w.free(2)
+	require.EqualValues(t, 950, own, "repaid though it was used just now")
+	w.routers[1].recalled("a", 77) // of no loan
+	w.routers[1].recalled("b", 2)
+}
+
 func TestASealedLendersLoanPaysForNothing(t *testing.T) {
 	w := newWorld(t, 2, testPolicy)
 	w.topUp("x", 1000)
--- a/internal/budget/control.go
+++ b/internal/budget/control.go
@@ -233,7 +233,7 @@
 			s.idle = now
 		}
 		s.used = false
-		if s.free > 0 && now.Sub(s.idle) >= rest {
+		if s.free > 0 && (s.recalled || now.Sub(s.idle) >= rest) {
 			s.repaid += s.free
 			s.free = 0
 		}
--- a/internal/budget/drain.go
+++ b/internal/budget/drain.go
@@ -7,11 +7,19 @@
 	"github.com/pkg/errors"
 
 	"github.com/camphorlever/camphorlever/internal/ledger"
+	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
 // drainPause is the time between two rounds of Drain.
 const drainPause = 200 * time.Millisecond
 
+// ErrSealed means that this life was sealed: its grants are freed by others,
+// and it must not deregister, since other routers may still use its loans.
+var ErrSealed = errors.New("this life has been sealed")
+
+// recallRounds is the number of rounds between two calls to a borrower.
+const recallRounds = 5
+
 // Drain ends this router's part in the budgets before it deregisters: it
 // admits and lends nothing any more, repays its loans and returns what is free
 // of its grants. It fails when ctx ends with tokens still reserved, lent or
@@ -19,7 +27,13 @@
 // start under its grants, and is left to be sealed.
 func (g *Grants) Drain(ctx context.Context) error {
 	g.fenced.Store(true)
-	for {
+	for round := 0; ; round++ {
+		if g.sealed.Load() {
+			return ErrSealed
+		}
+		if round%recallRounds == 0 {
+			g.recall(ctx)
+		}
 		open := g.drainRound(ctx)
 		if open == 0 {
 			return nil
@@ -34,6 +48,22 @@
 	}
 }
 
+// recall asks the borrowers to repay.
+func (g *Grants) recall(ctx context.Context) {
+	for _, h := range g.hands() {
+		for _, borrower := range h.borrowers() {
+			args := wire.BorrowArgs{Borrower: g.config.Self, Team: h.team, Recall: true}
+			g.config.Launch(func() {
+				call, cancel := context.WithTimeout(ctx, borrowWait)
+				defer cancel()
+				if _, err := g.config.Peers.Borrow(call, borrower, args); err != nil {
+					g.counts.Inc("recall_unknown")
+				}
+			})
+		}
+	}
+}
+
 // drainRound gives back what it can and returns the tokens that remain.
 func (g *Grants) drainRound(ctx context.Context) int64 {
 	var open int64
--- a/internal/budget/hand.go
+++ b/internal/budget/hand.go
@@ -20,11 +20,17 @@
 	borrowed int64     // by loans, in all; zero for the own grant
 	repaid   int64     // of loans, in all, sent or to be sent
 	repaying bool      // a call is in flight
+	recalled bool      // the lender wants it back
 	repaidOK int64     // of it, confirmed by the lender
 	used     bool      // reserved from since the last tick
 	idle     time.Time // of the last tick that saw it used
 }
 
+// usable reports whether new runs may be paid from the source.
+func (s *source) usable() bool {
+	return !s.revoked && !s.recalled
+}
+
 // hand is the tokens of one team in this router's hands.
 type hand struct {
 	team ident.TeamID
@@ -116,7 +122,7 @@
 		best = nil
 	}
 	for _, s := range h.loans {
-		if s.free >= tokens && !s.revoked && (best == nil || s.free < best.free) {
+		if s.free >= tokens && s.usable() && (best == nil || s.free < best.free) {
 			best = s
 		}
 	}
--- a/internal/budget/lend.go
+++ b/internal/budget/lend.go
@@ -48,6 +48,10 @@
 // the loan's number. A sealed borrower gets nothing.
 func (g *Grants) Borrow(args wire.BorrowArgs) wire.BorrowReply {
 	nothing := wire.BorrowReply{Holder: g.config.Self}
+	if args.Recall {
+		g.recalled(args.Team, args.Borrower)
+		return nothing
+	}
 	if g.fenced.Load() || g.config.Fleet.Sealed(args.Borrower) || args.Least <= 0 || args.Borrower == 0 {
 		g.counts.Inc("lend_refused")
 		return nothing
@@ -67,6 +71,20 @@
 	return b.reply
 }
 
+// recalled stops the use of a lender's loans; the controller repays them.
+func (g *Grants) recalled(team ident.TeamID, lender ident.Incarnation) {
+	h := g.lookup(team)
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s := h.loanFrom(lender); s != nil {
+		s.recalled = true
+		g.counts.Inc("loan_recalled")
+	}
+}
+
 // lend moves tokens from the own grant to a loan.
 func (g *Grants) lend(args wire.BorrowArgs) wire.BorrowReply {
 	reply := wire.BorrowReply{Holder: g.config.Self}
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -144,6 +144,10 @@
 	// free tokens. A lender that has less than Least returns what it has to
 	// the ledger, where it can be drawn as a whole.
 	Gather bool
+	// Recall turns the message round: the sender, named by Borrower, is a
+	// lender that stops and asks for what is free of its loans. Nothing is
+	// borrowed, and Loan is not looked at.
+	Recall bool
 }
 
 // BorrowReply carries the loan. Tokens is 0 if the lender has too little.
