Grants: two home routers where there is one data centre

test/e2e TestRouterThatIsCutOffHoldsItsTokens failed in a full run: with two routers in one data centre the home router held the whole small budget, and when it was the paused one the other refused every request, each after ten seconds, until the test's time was over. In the only data centre there are now two home routers with equal parts, and a request no longer waits because the log answers: only runs in progress here or at a lender that answered count.

Seen failing with mutations: one home or always two, homes kept when the number of data centres changes, both homes holding the whole floor.

--- a/internal/budget/fake_test.go
+++ b/internal/budget/fake_test.go
@@ -26,6 +26,7 @@
 	state   *ledger.State
 	seq     map[ident.Incarnation]uint64
 	appends int
+	far     bool                       // there is a router in another data centre
 	down    bool                       // the log cannot be reached
 	lose    bool                       // replies of the log are lost after the write
 	mute    map[ident.Incarnation]bool // routers that nobody reaches
@@ -110,6 +111,9 @@
 			list = append(list, Router{Incarnation: i, DataCentre: "dc"})
 		}
 	}
+	if w.far {
+		list = append(list, Router{Incarnation: 90, DataCentre: "far"})
+	}
 	return list
 }
 
--- a/internal/budget/hand.go
+++ b/internal/budget/hand.go
@@ -44,12 +44,12 @@
 	giving      bool     // a return is in flight
 	closing     bool     // a Close of a borrower is in flight
 	held        []heldRun
-	neverRan    []heldKey         // told since the last look at held
-	home        ident.Incarnation // of this team in this data centre
-	homePrint   uint64            // of the roster that it was chosen from
-	skipped     int               // ticks for which there was nothing to do
-	peersUse    int64             // in use at the lenders that were asked last
-	balancedOut bool              // the last tick found nothing to adjust
+	neverRan    []heldKey           // told since the last look at held
+	homes       []ident.Incarnation // of this team in this data centre
+	homePrint   uint64              // of the roster that it was chosen from
+	skipped     int                 // ticks for which there was nothing to do
+	peersUse    int64               // in use at the lenders that were asked last
+	balancedOut bool                // the last tick found nothing to adjust
 	proof       proof
 	balanced    time.Time // when the own grant was last adjusted
 	demand      demand
--- a/internal/budget/health.go
+++ b/internal/budget/health.go
@@ -35,23 +35,12 @@
 	l.failed = now
 }
 
-// up reports whether the log has just answered.
-func (l *health) up(now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.upLocked(now)
-}
-
-func (l *health) upLocked(now time.Time) bool {
-	return l.answered.After(l.failed) && now.Sub(l.answered) < provenFor
-}
-
 // cap returns how many of the tokens that are in excess may be returned now.
 func (l *health) cap(tokens int64, now time.Time) int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case l.upLocked(now):
+	case l.answered.After(l.failed) && now.Sub(l.answered) < provenFor:
 		return tokens
 	case !l.failed.IsZero() && !l.answered.After(l.failed) && now.Sub(l.failed) < probeRest:
 		return 0
--- a/internal/budget/home.go
+++ b/internal/budget/home.go
@@ -19,8 +19,30 @@
 	if s.Home || !policy.LittleUse(s) && policy.Scarcity(s) != Scarce {
 		return 0, false
 	}
-	home := g.home(h, g.roster())
-	return home, home != 0
+	homes := g.homes(h, g.roster())
+	if len(homes) == 0 {
+		return 0, false
+	}
+	return homes[0], true
+}
+
+// homesOf picks a data centre's home routers of a team. Where it is the only
+// data centre, there are two: the loss of one router must not take all tokens
+// out of reach.
+func homesOf(team ident.TeamID, r *roster, dc ident.DataCentreID) []ident.Incarnation {
+	first := homeRouter(team, r.routers, dc)
+	if first == 0 {
+		return nil
+	}
+	homes := []ident.Incarnation{first}
+	if r.sites > 1 {
+		return homes
+	}
+	others := slices.DeleteFunc(slices.Clone(r.routers), func(o Router) bool { return o.Incarnation == first })
+	if second := homeRouter(team, others, dc); second != 0 {
+		homes = append(homes, second)
+	}
+	return homes
 }
 
 // homeRouter picks a data centre's home router of a team by rendezvous
@@ -64,7 +86,7 @@
 // situation describes a budget to the policy.
 func (g *Grants) situation(h *hand, budget ledger.Budget) Situation {
 	r := g.roster()
-	home := g.home(h, r)
+	homes := g.homes(h, r)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := Situation{
@@ -77,7 +99,8 @@
 		Bound:     int64(h.demand.bound),
 		Routers:   max(len(r.routers), 1),
 		Here:      len(r.here),
-		Home:      home == 0 || home == g.config.Self,
+		Homes:     len(homes),
+		Home:      len(homes) == 0 || slices.Contains(homes, g.config.Self),
 	}
 	if h.fleet.long > 0 {
 		s.SiteShare = min(h.site.long/h.fleet.long, 1)
--- a/internal/budget/policy.go
+++ b/internal/budget/policy.go
@@ -26,7 +26,8 @@
 	Bound     int64   // of a large recent run
 	Routers   int     // live ones
 	Here      int     // of them in this data centre
-	Home      bool    // this router is the budget's home in its data centre
+	Homes     int     // home routers of the budget in this data centre
+	Home      bool    // this router is one of them
 }
 
 // Scarcity is how scarce a budget is, which decides who holds its tokens.
@@ -101,8 +102,8 @@
 		if !s.Home {
 			return 0
 		}
-		share = s.SiteShare
-		rate = s.SiteShare * s.FleetRate
+		share = s.homeShare()
+		rate = share * s.FleetRate
 	}
 	wanted := rate*p.Horizon.Seconds()*horizonMargin + float64(minRuns*s.Bound)
 	limit := p.part() * share * float64(s.Free+s.Spread)
@@ -121,14 +122,18 @@
 // floorPart is this router's part of the floor of all. Of a budget in little
 // use the home router holds it for its data centre.
 func (p Policy) floorPart(s Situation) float64 {
-	routers := 1
 	if p.LittleUse(s) {
 		if !s.Home {
 			return 0
 		}
-		routers = max(s.Here, 1)
+		return float64(max(s.Here, 1)) / float64(max(s.Homes, 1)) / float64(max(s.Routers, 1))
 	}
-	return float64(routers) / float64(max(s.Routers, 1))
+	return 1 / float64(max(s.Routers, 1))
+}
+
+// homeShare is a home router's part of the fleet's demand.
+func (s Situation) homeShare() float64 {
+	return s.SiteShare / float64(max(s.Homes, 1))
 }
 
 // LittleUse reports whether so little is spent at this router that it need not
@@ -178,7 +183,7 @@
 	switch p.Scarcity(s) {
 	case Scarce:
 		if s.Home {
-			share = s.SiteShare
+			share = s.homeShare()
 		}
 		return share, p.part()
 	case Ample:
--- a/internal/budget/roster.go
+++ b/internal/budget/roster.go
@@ -19,7 +19,8 @@
 	at      time.Time
 	routers []Router
 	here    map[ident.Incarnation]bool // those of this data centre
-	print   uint64                     // differs if here does
+	sites   int                        // data centres
+	print   uint64                     // differs if here or sites does
 }
 
 // roster returns the current list.
@@ -29,12 +30,16 @@
 		return r
 	}
 	r := &roster{at: now, routers: g.config.Fleet.Routers(), here: map[ident.Incarnation]bool{}}
+	sites := map[ident.DataCentreID]bool{}
 	for _, router := range r.routers {
+		sites[router.DataCentre] = true
 		if router.DataCentre == g.config.DataCentre {
 			r.here[router.Incarnation] = true
 			r.print += mix(uint64(router.Incarnation))
 		}
 	}
+	r.sites = len(sites)
+	r.print += uint64(r.sites)
 	g.known.Store(r)
 	return r
 }
@@ -46,16 +51,16 @@
 	return xxhash.Sum64(raw[:])
 }
 
-// home returns a team's home router in this data centre, zero if there is
-// none. The hand keeps it until the routers here change.
-func (g *Grants) home(h *hand, r *roster) ident.Incarnation {
+// homes returns a team's home routers in this data centre. The hand keeps them
+// until the routers change.
+func (g *Grants) homes(h *hand, r *roster) []ident.Incarnation {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.home == 0 || h.homePrint != r.print {
-		h.home = homeRouter(h.team, r.routers, g.config.DataCentre)
+	if h.homes == nil || h.homePrint != r.print {
+		h.homes = homesOf(h.team, r, g.config.DataCentre)
 		h.homePrint = r.print
 	}
-	return h.home
+	return h.homes
 }
 
 // siteShare is the part of the routers that is in this data centre.
--- a/internal/budget/sizing_test.go
+++ b/internal/budget/sizing_test.go
@@ -77,6 +77,7 @@
 		{"ending", 4_000, 100, false},
 	} {
 		w := newWorld(t, 2, testPolicy)
+		w.far = true
 		home := homeRouter("a", w.Routers(), "dc")
 		other := 3 - home
 		w.topUp("x", c.tokens)
@@ -93,13 +94,34 @@
 	w := newWorld(t, 4, testPolicy)
 	g := w.routers[1]
 	h := g.hand("a")
-	first := g.home(h, g.roster())
-	w.sealed[first] = true
-	require.Equal(t, first, g.home(h, g.roster()), "the roster is kept for a while")
+	first := g.homes(h, g.roster())
+	require.Len(t, first, 2, "in the only data centre")
+	w.sealed[first[0]] = true
+	require.Equal(t, first, g.homes(h, g.roster()), "the roster is kept for a while")
 	w.now = w.now.Add(rosterAge)
-	second := g.home(h, g.roster())
-	require.NotEqual(t, first, second)
-	require.Equal(t, homeRouter("a", w.Routers(), "dc"), second)
+	second := g.homes(h, g.roster())
+	require.NotContains(t, second, first[0])
+	require.Equal(t, homeRouter("a", w.Routers(), "dc"), second[0])
+	w.far = true
+	w.now = w.now.Add(rosterAge)
+	require.Equal(t, second[:1], g.homes(h, g.roster()), "one in each of two data centres")
+}
+
+// TestAPausedHomeLeavesHalf: of two routers in the only data centre either one
+// can be lost.
+func TestAPausedHomeLeavesHalf(t *testing.T) {
+	w := newWorld(t, 2, Policy{Horizon: 600 * time.Second})
+	w.topUp("x", 12_000)
+	w.routers[1].hand("a")
+	w.routers[2].hand("a")
+	for range 3 * dormantTicks {
+		w.tick(time.Second)
+	}
+	for i := ident.Incarnation(1); i <= 2; i++ {
+		w.mute[3-i] = true
+		w.routers[i].Settle(w.mustAcquire(i, 5_000), 0)
+		w.mute[3-i] = false
+	}
 }
 
 // TestSealedLendersAreNotAsked even while the roster still lists them.
--- a/internal/budget/wait.go
+++ b/internal/budget/wait.go
@@ -67,7 +67,7 @@
 	if waited >= patience || g.sync(h).Outstanding == 0 {
 		return false
 	}
-	if refused.Code == refusal.BudgetExhausted || h.inUse() > 0 || g.health.up(g.config.Now()) {
+	if refused.Code == refusal.BudgetExhausted || h.inUse() > 0 {
 		return true
 	}
 	return waited < unreachablePatience
