--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -15,7 +15,8 @@
 	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
-var testPolicy = Policy{Horizon: 600 * time.Second, Caution: 0.5}
+// testPolicy holds no floor beside the demand.
+var testPolicy = Policy{Horizon: 600 * time.Second, Caution: 1}
 
 // acquire is Try with a refusal's code.
 func (w *world) acquire(i ident.Incarnation, tokens int64) (Reservation, refusal.Code) {
@@ -227,6 +228,8 @@
 		{"settled", func(w *world) { w.settle(run, 1, 120) }, 880},
 		{"settled by a stranger's gate", func(w *world) { w.settle(ident.RunID{Gate: 51, Number: 1}, 1, 120) }, 700},
 		{"gate closed", func(w *world) { w.do(9, ledger.KindClose, ledger.Close{Holder: 50}) }, 1000},
+		{"never ran", func(w *world) { w.routers[1].NeverRan("a", testKey(1), 50) }, 1000},
+		{"never ran elsewhere", func(w *world) { w.routers[1].NeverRan("a", testKey(1), 51); w.routers[1].NeverRan("a", testKey(2), 50) }, 700},
 		{"settled, then gate closed", func(w *world) {
 			w.settle(run, 1, 120)
 			w.do(9, ledger.KindClose, ledger.Close{Holder: 50})
@@ -318,9 +321,11 @@
 		w.tick(time.Second)
 	}
 	w.tick(30 * time.Minute)
-	w.tick(time.Second)
+	for range 2 * dormantTicks {
+		w.tick(time.Second)
+	}
 	budget := w.state.Budget("a")
-	require.Less(t, budget.Outstanding, int64(40_000))
+	require.Less(t, budget.Outstanding, int64(1_500), "two runs of the decayed bound, by home router")
 	_, borrowed := w.free(1)
 	require.Zero(t, borrowed)
 }
