Runs end after an hour at the latest; a silent plain call that may be repeated is repeated

A run without a deadline at a server that never answers would have held up a graceful stop for good. Seen failing first: a longer limit, silence of plain calls not noticed, and a call that must not be repeated given up early.

--- a/internal/engine/cases_test.go
+++ b/internal/engine/cases_test.go
@@ -194,6 +194,21 @@
 	}{
 		"repeated after a broken connection": {handle: fail, requests: 2, want: gate.Outcome{Complete: true, Reached: true, Result: wire.Result{Status: 200}}},
 		"not to be repeated":                 {once: true, handle: fail, requests: 1, want: gate.Outcome{Reached: true, Result: wire.Result{Status: 502}}},
+		"repeated after silence": {
+			handle: func(n int, w http.ResponseWriter, r *http.Request) {
+				if n == 0 {
+					silence(r)
+					return
+				}
+				fmt.Fprint(w, "ok")
+			},
+			requests: 2, want: gate.Outcome{Complete: true, Reached: true, Result: wire.Result{Status: 200}},
+		},
+		"slow and not to be repeated": {
+			once:     true,
+			handle:   func(_ int, w http.ResponseWriter, _ *http.Request) { time.Sleep(time.Minute); fmt.Fprint(w, "ok") },
+			requests: 1, want: gate.Outcome{Complete: true, Reached: true, Result: wire.Result{Status: 200}},
+		},
 		"server's error is the answer": {
 			handle: func(_ int, w http.ResponseWriter, _ *http.Request) {
 				http.Error(w, "no", http.StatusInternalServerError)
@@ -216,7 +231,9 @@
 				})
 				defer stop()
 				job := gate.Job{Key: ident.Key{1}, Once: c.once, Call: wire.Call{Service: "desk", Method: "POST", Path: "/orders?x=1", Body: []byte("{}")}}
+				start := time.Now()
 				got := client.Run(t.Context(), job, &recorder{})
+				require.LessOrEqual(t, time.Since(start), time.Minute)
 				require.Equal(t, c.want.Result.Status, got.Result.Status)
 				got.Result = c.want.Result
 				require.Equal(t, c.want, got)
--- a/internal/engine/plain.go
+++ b/internal/engine/plain.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/camphorlever/camphorlever/internal/gate"
 	"github.com/camphorlever/camphorlever/internal/wire"
@@ -41,7 +42,9 @@
 
 // plainOnce makes one attempt and reports whether an answer has begun.
 func (c *Client) plainOnce(ctx context.Context, job gate.Job, sink gate.Sink, reached bool) (gate.Outcome, bool) {
-	request, err := http.NewRequestWithContext(ctx, job.Call.Method, c.base+job.Call.Path, bytes.NewReader(job.Call.Body))
+	watch := watchSilence(ctx, c.plainSilence(job))
+	defer watch.stop()
+	request, err := http.NewRequestWithContext(watch.ctx, job.Call.Method, c.base+job.Call.Path, bytes.NewReader(job.Call.Body))
 	if err != nil {
 		return gate.Outcome{Result: wire.Result{Status: http.StatusBadRequest, Message: err.Error()}}, true
 	}
@@ -56,10 +59,11 @@
 		return gate.Outcome{Reached: reached || !notSent(err), Result: failed}, false
 	}
 	defer response.Body.Close()
+	watch.sign()
 	result := wire.Result{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type")}
 	sink.Result(result)
 	outcome := gate.Outcome{Reached: true, Result: result}
-	if err := copyPieces(response.Body, sink); err != nil {
+	if err := copyPieces(watch.reader(response.Body), sink); err != nil {
 		c.counts.Inc("plain_broken")
 		outcome.Result.Message = "service broke its answer off"
 		return outcome, true
@@ -68,6 +72,16 @@
 	return outcome, true
 }
 
+// plainSilence is how long a call may stay without a byte of its answer. A
+// call that must not be repeated is waited for until its deadline: giving it up
+// sooner would only make its outcome unknown.
+func (c *Client) plainSilence(job gate.Job) time.Duration {
+	if job.Once {
+		return gate.MaxRunTime
+	}
+	return c.config.GiveUp
+}
+
 // copyPieces passes a body to the sink in pieces.
 func copyPieces(body io.Reader, sink gate.Sink) error {
 	piece := make([]byte, plainPieceBytes)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"github.com/camphorlever/camphorlever/internal/counter"
 	"github.com/camphorlever/camphorlever/internal/ident"
@@ -21,6 +21,8 @@
 	// ReaderGrace is how long a run goes on without a reader. It leaves a
 	// caller time to come back through another router.
 	ReaderGrace = 30 * time.Second
+	// MaxRunTime bounds a run whose request names no shorter time.
+	MaxRunTime = time.Hour
 	// firstEventWeight is the divisor of a new sample of FirstEvent.
 	firstEventWeight = 8
 )
@@ -50,7 +52,7 @@
 	firstEvent  atomic.Int64 // smoothed time from start to first event, nanoseconds
 	shards      [shardCount]shard
 	buffer      buffer
-	runs        conc.WaitGroup
+	runs        sync.WaitGroup // a panic of the gate itself ends the process
 }
 
 // New returns a gate that refuses every key until Open.
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -89,10 +89,12 @@
 		settledDone: make(chan struct{}),
 		readers:     make(map[*Answer]struct{}, 1),
 	}
+	limit := MaxRunTime
 	if request.Timeout > 0 {
-		timer := time.AfterFunc(request.Timeout, func() { cancel(errTimeout) })
-		context.AfterFunc(ctx, func() { timer.Stop() })
+		limit = min(limit, request.Timeout)
 	}
+	timer := time.AfterFunc(limit, func() { cancel(errTimeout) })
+	context.AfterFunc(ctx, func() { timer.Stop() })
 	return ctx, r
 }
 
--- a/internal/gate/run_test.go
+++ b/internal/gate/run_test.go
@@ -69,6 +69,7 @@
 			script: untilStopped, want: 11, kind: wire.FrameFailed,
 			change: func(r *wire.BeginRequest) { r.Timeout = time.Second },
 		},
+		"no deadline": {script: untilStopped, want: 11, kind: wire.FrameFailed},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -81,6 +82,7 @@
 				answer, _ := b.Begin(request)
 				end := last(readAll(t, answer))
 				require.Equal(t, c.kind, end.Kind)
+				require.LessOrEqual(t, time.Since(b.LastStart()), MaxRunTime)
 				require.EqualValues(t, c.want, end.Usage.Total())
 				require.LessOrEqual(t, end.Usage.Output, max(request.MaxOutput, 0)+c.fixed)
 				synctest.Wait()
