--- a/internal/engine/cases_test.go
+++ b/internal/engine/cases_test.go
@@ -273,3 +273,16 @@
 	}
 	require.Len(t, c.View().Entries, maxCacheEntries)
 }
+
+func TestPathCannotChooseTheHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine, client, stop := newFake(t, func(_ int, w http.ResponseWriter, _ *http.Request) {})
+		defer stop()
+		for _, path := range []string{"@elsewhere/", "", "x"} {
+			got := client.Run(t.Context(), gate.Job{Call: wire.Call{Service: "desk", Method: "POST", Path: path}}, &recorder{})
+			require.Equal(t, http.StatusBadRequest, got.Result.Status)
+			require.False(t, got.Reached)
+		}
+		require.Empty(t, engine.seen())
+	})
+}
--- a/internal/engine/plain.go
+++ b/internal/engine/plain.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/camphorlever/camphorlever/internal/gate"
@@ -42,6 +43,10 @@
 
 // plainOnce makes one attempt and reports whether an answer has begun.
 func (c *Client) plainOnce(ctx context.Context, job gate.Job, sink gate.Sink, reached bool) (gate.Outcome, bool) {
+	if !strings.HasPrefix(job.Call.Path, "/") {
+		// It would otherwise become part of the host.
+		return gate.Outcome{Result: wire.Result{Status: http.StatusBadRequest, Message: "path must start with a slash"}}, true
+	}
 	watch := watchSilence(ctx, c.plainSilence(job))
 	defer watch.stop()
 	request, err := http.NewRequestWithContext(watch.ctx, job.Call.Method, c.base+job.Call.Path, bytes.NewReader(job.Call.Body))
