--- a/internal/budget/hand.go
+++ b/internal/budget/hand.go
@@ -20,11 +20,17 @@
 	borrowed int64     // by loans, in all; zero for the own grant
 	repaid   int64     // of loans, in all, sent or to be sent
 	repaying bool      // a call is in flight
+	recalled bool      // the lender wants it back
 	repaidOK int64     // of it, confirmed by the lender
 	used     bool      // reserved from since the last tick
 	idle     time.Time // of the last tick that saw it used
 }
 
+// usable reports whether new runs may be paid from the source.
+func (s *source) usable() bool {
+	return !s.revoked && !s.recalled
+}
+
 // hand is the tokens of one team in this router's hands.
 type hand struct {
 	team ident.TeamID
@@ -38,12 +44,12 @@
 	giving      bool     // a return is in flight
 	closing     bool     // a Close of a borrower is in flight
 	held        []heldRun
-	neverRan    []heldKey         // told since the last look at held
-	home        ident.Incarnation // of this team in this data centre
-	homePrint   uint64            // of the roster that it was chosen from
-	skipped     int               // ticks for which there was nothing to do
-	peersUse    int64             // in use at the lenders that were asked last
-	balancedOut bool              // the last tick found nothing to adjust
+	neverRan    []heldKey           // told since the last look at held
+	homes       []ident.Incarnation // of this team in this data centre
+	homePrint   uint64              // of the roster that it was chosen from
+	skipped     int                 // ticks for which there was nothing to do
+	peersUse    int64               // in use at the lenders that were asked last
+	balancedOut bool                // the last tick found nothing to adjust
 	proof       proof
 	balanced    time.Time // when the own grant was last adjusted
 	demand      demand
@@ -117,7 +123,7 @@
 		best = nil
 	}
 	for _, s := range h.loans {
-		if s.free >= tokens && !s.revoked && (best == nil || s.free < best.free) {
+		if s.free >= tokens && s.usable() && (best == nil || s.free < best.free) {
 			best = s
 		}
 	}
