--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -59,7 +59,6 @@
 // budgetFleet tells the budget of the other routers.
 type budgetFleet struct {
 	members func() *fleet.View
-	self    func() ident.Incarnation
 }
 
 // Routers implements budget.Fleet.
@@ -67,9 +66,6 @@
 	view := f.members()
 	routers := make([]budget.Router, 0, len(view.Routers))
 	for _, m := range view.Routers {
-		if m.Leaving && m.Incarnation != f.self() {
-			continue // it lends nothing any more
-		}
 		routers = append(routers, budget.Router{Incarnation: m.Incarnation, DataCentre: m.Registration.DataCentre})
 	}
 	return routers
--- a/internal/router/loads.go
+++ b/internal/router/loads.go
@@ -6,9 +6,7 @@
 
 	"github.com/sourcegraph/conc/pool"
 
-	"github.com/camphorlever/camphorlever/internal/budget"
 	"github.com/camphorlever/camphorlever/internal/counter"
-	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/placement"
 )
 
@@ -25,8 +23,6 @@
 	picker    *placement.Picker
 	gates     *gates
 	routers   *routers
-	grants    *budget.Grants
-	self      ident.Incarnation
 	kick      func() // there may be more room than before
 	polls     *counter.Set
 }
@@ -39,7 +35,6 @@
 		l.directory.refresh()
 		l.directory.refreshVMs()
 		l.routers.keep()
-		l.repay(ctx)
 		l.round(ctx)
 		l.kick()
 		select {
@@ -50,15 +45,6 @@
 	}
 }
 
-// repay gives loans back to routers that are being stopped, which wait for it.
-func (l *loads) repay(ctx context.Context) {
-	for _, m := range l.routers.members().Routers {
-		if m.Leaving && m.Incarnation != l.self {
-			l.grants.RepayTo(ctx, m.Incarnation)
-		}
-	}
-}
-
 func (l *loads) round(ctx context.Context) {
 	calls := pool.New().WithMaxGoroutines(loadCalls)
 	for _, s := range l.picker.Watched() {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -34,8 +34,6 @@
 	unreadyPause = time.Second
 	// activePoll is how often the stop looks for requests in progress.
 	activePoll = 50 * time.Millisecond
-	// announceTimeout bounds the announcement of the stop.
-	announceTimeout = 2 * time.Second
 	// flushTimeout bounds what is written to the log at the end.
 	flushTimeout = 20 * time.Second
 )
@@ -142,7 +140,7 @@
 		Self:       self,
 		DataCentre: r.options.DataCentre,
 		Ledger:     r.node.Ledger(),
-		Fleet:      budgetFleet{members: r.node.Members, self: r.node.Incarnation},
+		Fleet:      budgetFleet{members: r.node.Members},
 		Peers:      r.routers,
 		Policy:     policyOf(r.node.Settings),
 		Teams:      teamsOf(r.node.Settings),
@@ -164,7 +162,7 @@
 		log:       r.log,
 	})
 	r.chains.Store(&joined)
-	loads := &loads{directory: dir, picker: picker, gates: r.gates, routers: r.routers, grants: grants, self: self, kick: joined.queue.Kick, polls: counter.NewSet("load_polls")}
+	loads := &loads{directory: dir, picker: picker, gates: r.gates, routers: r.routers, kick: joined.queue.Kick, polls: counter.NewSet("load_polls")}
 	r.work.Go(func() { grants.Run(ctx) })
 	r.work.Go(func() { loads.run(ctx) })
 	r.work.Go(func() { r.witness.tracker.Run(ctx) })
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -20,7 +20,6 @@
 func (r *Router) stopOnce(ctx context.Context) error {
 	r.log.Info().Msg("router stops")
 	r.state.unready.Store(true)
-	r.announce()
 	pause(ctx, unreadyPause)
 	r.state.stopping.Store(true)
 	close(r.refusing)
@@ -42,19 +41,6 @@
 	return err
 }
 
-// announce lets the other routers give their loans back early. Without it they
-// do so when the loans have been idle for a while.
-func (r *Router) announce() {
-	if r.node.Incarnation() == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
-	defer cancel()
-	if err := r.node.Leave(ctx); err != nil {
-		r.log.Warn().Err(err).Msg("stop could not be announced")
-	}
-}
-
 // finishRequests waits for every request in progress. Until they are over,
 // those that still come are told that the router stops.
 func (r *Router) finishRequests(ctx context.Context) error {
