End-to-end tests: an engine that dies; a process that does not stop shows where it waits

A router that stops alone does not end within 20 s any more: it waits in the drain of its grants for another router's idle loan, and gives up with exit status 1.

--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -244,11 +244,7 @@
 	group.Wait()
 	require.Empty(t, strings.Join(wrong, "\n"))
 	f.audited("open-0", "open-1", "open-2", "open-3")
-	f.routers[1].stop()
-	f.models[0].stop()
-	f.desks[0].stop()
-	report := f.report()
-	require.Zero(t, report.Held(), "tokens are held after all have stopped: %+v", report.Open)
+	f.stopAll()
 }
 
 // orders is how many keys make it likely that both order desks get some.
--- a/test/e2e/pressure_test.go
+++ b/test/e2e/pressure_test.go
@@ -150,3 +150,35 @@
 	answered, _ := f.many("together", 60)
 	f.audited(append(keys, answered...)...)
 }
+
+func TestEngineDiesInItsStreams(t *testing.T) {
+	f := newFleet(t, 2, 5*time.Millisecond)
+	keys, wait := f.streams(6, 0, 200)
+	f.models[0].engine.signal(syscall.SIGKILL)
+	wait()
+	for i, key := range keys {
+		// The runs at the dead engine have failed, and stay so under their keys.
+		again := key
+		if problem := f.chat(1, prompt(key, 200), key, true); problem != "" {
+			require.Contains(t, problem, "backend_failed")
+			again = fmt.Sprintf("again-%d", i)
+		}
+		f.succeeds(func() string { return f.chat(1, prompt(again, 200), again, true) })
+		f.audited(again)
+	}
+	f.stopAll()
+}
+
+// stopAll stops every process gracefully, after which no tokens may be held.
+func (f *fleet) stopAll() {
+	f.t.Helper()
+	for _, nodes := range [][]*node{f.routers, f.models, f.desks} {
+		for _, n := range nodes {
+			if !n.ended() {
+				n.stop()
+			}
+		}
+	}
+	report := f.report()
+	require.Zero(f.t, report.Held(), "tokens are held after all have stopped: %+v", report.Open)
+}
--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -3,6 +3,7 @@
 package e2e
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"os"
@@ -137,11 +138,20 @@
 	case <-p.over:
 		require.NoError(p.t, p.err, p.name)
 	case <-time.After(patience):
-		p.t.Fatalf("%s did not stop", p.name)
+		p.signal(syscall.SIGQUIT) // its stacks go to its log
+		<-p.over
+		p.t.Fatalf("%s did not stop:\n%s", p.name, p.mainStack())
 	}
 }
 
-const shownBytes = 3000
+// mainStack returns the stack of the main goroutine from the log.
+func (p *process) mainStack() []byte {
+	raw, _ := os.ReadFile(p.log)
+	_, stack, _ := bytes.Cut(raw, []byte("\ngoroutine 1 "))
+	return stack[:min(shownBytes, len(stack))]
+}
+
+const shownBytes = 2000
 
 func tail(raw []byte) []byte {
 	return raw[max(0, len(raw)-shownBytes):]
