--- a/internal/filter/once/handler.go
+++ b/internal/filter/once/handler.go
@@ -7,6 +7,7 @@
 
 	"github.com/camphorlever/camphorlever/internal/counter"
 	"github.com/camphorlever/camphorlever/internal/filter"
+	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/refusal"
 	"github.com/camphorlever/camphorlever/internal/wire"
 )
@@ -24,6 +25,10 @@
 	if !r.Once {
 		return next(ctx, r)
 	}
+	// A claim never changes its gate, so one that was read needs no log.
+	if gate, known := h.claims.Known(r.Caller.Team, r.Key); known {
+		return h.follow(ctx, r, gate, next)
+	}
 	bounded, cancel := context.WithTimeout(ctx, claimTimeout)
 	claim, err := h.claims.Claim(bounded, r.Caller.Team, r.Key, r.Target.Gate)
 	cancel()
@@ -35,13 +40,13 @@
 		h.counters.Inc("claimed")
 		return final(next(ctx, r))
 	}
-	return h.follow(ctx, r, claim, next)
+	return h.follow(ctx, r, claim.Gate, next)
 }
 
 // follow asks the gate of an earlier claim: it starts the key if no earlier
 // request reached it, or gives the answer of the run that it made.
-func (h *handler) follow(ctx context.Context, r *filter.Request, claim Claim, next filter.Next) filter.Outcome {
-	target, ok := h.members.Gate(claim.Gate)
+func (h *handler) follow(ctx context.Context, r *filter.Request, gate ident.Incarnation, next filter.Next) filter.Outcome {
+	target, ok := h.members.Gate(gate)
 	if !ok {
 		h.counters.Inc("gate_gone")
 		return filter.Refused(refusal.OutcomeUnknown, refusal.Unknown,
@@ -58,16 +63,13 @@
 // unclaimed serves a request whose claim has no verdict. This request has not
 // run, since no gate was asked; an earlier one with the same key may have.
 func (h *handler) unclaimed(ctx context.Context, r *filter.Request, next filter.Next) filter.Outcome {
-	if gate, ok := h.claims.Find(r.Caller.Team, r.Key); ok {
-		return h.follow(ctx, r, Claim{Gate: gate}, next)
-	}
 	if !r.Keyed() {
 		return notClaimed()
 	}
 	found, silent := h.ask(ctx, r)
 	switch {
 	case found != nil:
-		return h.follow(ctx, r, Claim{Gate: found.Gate}, next)
+		return h.follow(ctx, r, found.Gate, next)
 	case silent:
 		h.counters.Inc("no_reply")
 		return filter.Refused(refusal.OutcomeUnknown, refusal.Unknown,
--- a/internal/filter/once/setup.go
+++ b/internal/filter/once/setup.go
@@ -28,8 +28,8 @@
 // Claims writes claims. An error means that the verdict is not known.
 type Claims interface {
 	Claim(ctx context.Context, team ident.TeamID, key ident.Key, gate ident.Incarnation) (Claim, error)
-	// Find returns the gate of a claim that has been read from the log.
-	Find(team ident.TeamID, key ident.Key) (ident.Incarnation, bool)
+	// Known returns the gate of a claim that has been read from the log.
+	Known(team ident.TeamID, key ident.Key) (ident.Incarnation, bool)
 }
 
 // Gates asks gates about keys.
