--- a/test/e2e/pressure_test.go
+++ b/test/e2e/pressure_test.go
@@ -182,3 +182,22 @@
 	report := f.report()
 	require.Zero(f.t, report.Held(), "tokens are held after all have stopped: %+v", report.Open)
 }
+
+// TestRoutersStopOneAfterAnother stops routers some of which may hold loans of
+// the others, as a rolling replacement does.
+func TestRoutersStopOneAfterAnother(t *testing.T) {
+	f := newFleet(t, 1, time.Millisecond)
+	for i := 2; i < 4; i++ {
+		f.routers = append(f.routers, f.router(fmt.Sprintf("router-%d", i)))
+		f.await(func() bool { return f.call(http.MethodGet, f.routers[i].admin+"/readyz", nil) == http.StatusOK })
+		key := fmt.Sprintf("warm-%d", i)
+		f.succeeds(func() string { return f.chat(i, key, key, true) })
+	}
+	answered, refused := f.many("spread", 16)
+	require.Empty(t, refused)
+	f.audited(answered...)
+	for _, r := range f.routers {
+		r.stop()
+	}
+	f.stopAll()
+}
