--- a/internal/settlement/settle.go
+++ b/internal/settlement/settle.go
@@ -62,6 +62,9 @@
 			return nil
 		}
 		if time.Now().After(grace) {
+			if t.config.Probe != nil {
+				t.probeAll(ctx)
+			}
 			for _, c := range open {
 				if err := t.settle(ctx, c, false); err != nil {
 					return err
--- a/internal/settlement/tracker_test.go
+++ b/internal/settlement/tracker_test.go
@@ -269,3 +269,16 @@
 		require.Equal(t, []int{2, 1, 1}, []int{w.tracker.Open(), w.neverRan, w.resolved})
 	})
 }
+
+func TestFlushDoesNotWaitForTheNextProbe(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.gateSays(false, wire.KeySealed)
+		time.Sleep(probeInterval + time.Millisecond) // just after a probe
+		require.True(t, w.tracker.Track(copyOf(1)))
+		w.tracker.Lost(copyOf(1))
+		began := time.Now()
+		require.NoError(t, w.tracker.Flush(t.Context()))
+		require.Less(t, time.Since(began), gateGrace+sweepInterval)
+		require.Equal(t, 1, w.neverRan)
+	})
+}
