Settlements gather by the fleet's size, so that all side processes keep to the log's appends

Cause: a side process wrote its settlements every 200 ms to each shard. Ruled out: fewer shards alone (one shard still needs 4,650), and settlement through home routers now (another hop and another process that can be lost between the witness and the log). Now the delay is n*s/100 seconds, between 200 ms and one minute: 0.6 s for Hollister & Vance, 0.84 s for the Asociacion, 60 s and 248 appends a second at the target. A seal or a stop that waits for settlements makes them urgent. Not caught by a test: a seal that does not make settlements urgent; it only waits longer.

--- a/internal/measure/control/cluster.go
+++ b/internal/measure/control/cluster.go
@@ -110,7 +110,7 @@
 	c.cancel = cancel
 	for i, n := range c.nodes {
 		if i >= d.routers {
-			w := &worker{node: n, settler: side.NewSettler(n.Ledger(), zerolog.Nop())}
+			w := &worker{node: n, settler: side.NewSettler(n.Ledger(), func() int { return len(n.Members().Sides) }, zerolog.Nop())}
 			c.sides = append(c.sides, w)
 			c.work.Go(func() { w.settler.Run(ctx) })
 			continue
--- a/internal/side/process.go
+++ b/internal/side/process.go
@@ -79,14 +79,14 @@
 		FleetKey:     options.FleetKey,
 		Peers:        options.Peers,
 	}, platform.Log, platform.VMs, logger)
-	p.settler = NewSettler(p.node.Ledger(), logger)
+	p.settler = NewSettler(p.node.Ledger(), func() int { return len(p.node.Members().Sides) }, logger)
 	p.gate = gate.New(gate.Config{
 		Backend: p.client,
 		Lives:   lives{node: p.node},
 		Settler: p.settler,
 		Logger:  logger,
 	})
-	p.node.AddWitness(p.gate)
+	p.node.AddWitness(witness{gate: p.gate, settler: p.settler})
 	control := rpc.NewServer(options.FleetKey)
 	if err := control.Register(node.ServiceSide, p.methods(logger)); err != nil {
 		return nil, err
--- a/internal/side/settler.go
+++ b/internal/side/settler.go
@@ -17,8 +17,6 @@
 const (
 	// settleBatch bounds the settlements of one append.
 	settleBatch = 256
-	// settleDelay lets settlements gather, to spare the log service appends.
-	settleDelay = 200 * time.Millisecond
 	// settleTimeout bounds one attempt, settleRetry is the pause after one
 	// that failed. A settlement may be written twice: the fold bills a run
 	// once.
@@ -42,6 +40,7 @@
 	log    zerolog.Logger
 	counts *counter.Set
 	shards []settleQueue
+	pace   *pace
 }
 
 var _ gate.Settler = (*Settler)(nil)
@@ -59,12 +58,14 @@
 }
 
 // NewSettler returns a settler that writes nothing until Run.
-func NewSettler(target ShardLedger, logger zerolog.Logger) *Settler {
+// Sides returns the number of side processes that share the log's appends.
+func NewSettler(target ShardLedger, sides func() int, logger zerolog.Logger) *Settler {
 	s := &Settler{
 		ledger: target,
 		log:    logger.With().Str("part", "settler").Logger(),
 		counts: counter.NewSet("settler"),
 		shards: make([]settleQueue, target.Shards()),
+		pace:   newPace(sides, target.Shards()),
 	}
 	for i := range s.shards {
 		s.shards[i].wake = make(chan struct{}, 1)
@@ -84,6 +85,12 @@
 	}
 }
 
+// Urgent makes settlements be written without gathering them, until the
+// returned function is called.
+func (s *Settler) Urgent() (done func()) {
+	return s.pace.hurry()
+}
+
 // Run writes until ctx ends.
 func (s *Settler) Run(ctx context.Context) {
 	var group sync.WaitGroup // a panic in a shard ends the process
@@ -101,7 +108,7 @@
 		case <-ctx.Done():
 			return
 		}
-		pauseFor(ctx, settleDelay)
+		s.pace.wait(ctx)
 		for batch := q.take(); len(batch) > 0 && ctx.Err() == nil; batch = q.take() {
 			s.write(ctx, shard, batch)
 		}
--- a/internal/side/stop.go
+++ b/internal/side/stop.go
@@ -23,6 +23,7 @@
 func (p *Process) Leave(reason string) {
 	p.leave.Do(func() {
 		p.gate.Leave()
+		p.settler.Urgent() // for good
 		p.log.Info().Str("reason", reason).Int("running", p.gate.Running()).Msg("leaving")
 		close(p.announced)
 		p.work.Go(p.announce)
