A process that deregisters does not say that its life was sealed; make measure runs the path with real processes too

Cause: after its own deregistration a node saw its life ended and warned as if others had sealed it, at every graceful stop.

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 
 measure: build
 	$(BIN)/camphor-measure
+	scripts/measure.sh
 
 demo: build
 	scripts/demo.sh
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,6 +104,8 @@
 	startErr  error         // set before startedAt is closed
 	sealed    chan struct{} // closed once the own life is sealed
 	sealOnce  sync.Once
+
+	deregisters atomic.Bool // the own life ends by its own word
 }
 
 // New returns a node that does nothing until Start.
@@ -227,12 +229,13 @@
 
 func (n *Node) checkOwnSeal() {
 	own := n.Incarnation()
-	if own != 0 && n.members.Load().Sealed(own) {
-		n.sealOnce.Do(func() {
-			n.logger.Warn().Uint64("incarnation", uint64(own)).Msg("own life was sealed")
-			close(n.sealed)
-		})
+	if own == 0 || n.deregisters.Load() || !n.members.Load().Sealed(own) {
+		return
 	}
+	n.sealOnce.Do(func() {
+		n.logger.Warn().Uint64("incarnation", uint64(own)).Msg("own life was sealed")
+		close(n.sealed)
+	})
 }
 
 // Leave announces that the process takes no new work.
@@ -256,6 +259,7 @@
 	if err != nil {
 		return err
 	}
+	n.deregisters.Store(true)
 	_, err = n.SubmitFleet(ctx, r)
 	return errors.Wrap(err, "deregister")
 }
