Load polls carry the changes of the cache view, not the whole view

Cause: each reply to a load poll held all block hashes of the server's view, 36.9 KB with 4096 of them, each second and for each watched server.

The router's poll now carries a mark (epoch, sequence number, start of its view), the reply the blocks stored and removed since, at most 576 together, each as 32 bits of the hash, packed into bytes. The side process keeps the newest change of each block, and the newest 4096 removals. A mark of another epoch or older than these gets a whole view, in the same pieces over several polls. A reply is taken in only by the mark it was asked with, so that late and repeated ones change nothing.

A new epoch now voids what only the server told; before, it stayed until it was the oldest. The router's own placements still stay.

Mutations that the tests were seen failing with: - replies taken in whatever the mark: TestCacheFollowsTheServerThroughABadNetwork - a whole view does not void the old one: the same, and TestCacheIsCorrectedByLateEvents - the mark jumps to the newest change after a piece; removals not told; epoch not compared: TestCacheViewIsVoidAfterAGap, TestWholeViewComesInPieces and (the first two) TestReaderThatMissesRepliesAgreesInTheEnd, and (the last) TestLoadPollsAskForChangesOnly - a mark older than the removals kept is trusted, or removals from before the start are told: TestWholeViewComesInPieces - no limit of a reply, or 640 changes in one: TestLoadReplyIsSmall - a store leaves the block's old removal in place: TestOldRemovalDoesNotHideANewStore - the mark is not sent, or not given to the placement: TestLoadPollsAskForChangesOnly

TestCacheViewIsVoidAfterAGap moved to a file of its own, with the same steps; epochs start at 1, since the zero mark means a router that has nothing. The steps of TestCacheIsCorrectedByLateEvents are told as changes now.

--- a/internal/engine/cache.go
+++ b/internal/engine/cache.go
@@ -7,8 +7,8 @@
 	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
-// maxCacheEntries bounds the blocks that are remembered; the oldest go first.
-const maxCacheEntries = 4096
+// firstEpoch differs from that of the zero mark.
+const firstEpoch = 1
 
 // cacheStored is the kind of an event that adds a block.
 const cacheStored = "stored"
@@ -22,13 +22,12 @@
 	engine uint64     // the engine's epoch
 	last   uint64     // sequence number of the last event
 	synced bool
-	blocks map[uint64]uint64 // block to the number of its store event
-	order  []uint64          // blocks in order of their store events
+	view   *cacheLog
 }
 
 // NewCache returns an empty view.
 func NewCache() *Cache {
-	return &Cache{blocks: map[uint64]uint64{}}
+	return &Cache{epoch: firstEpoch, view: newCacheLog()}
 }
 
 // Poll reads the events since the last poll.
@@ -83,33 +82,30 @@
 func (c *Cache) restart(last uint64) {
 	c.epoch++
 	c.last = last
-	c.blocks = map[uint64]uint64{}
-	c.order = nil
+	c.view = newCacheLog()
 }
 
 // take is called under the lock.
 func (c *Cache) take(e CacheEvent) {
-	if e.Kind != cacheStored {
-		delete(c.blocks, e.Block)
-		return
-	}
-	if _, known := c.blocks[e.Block]; !known {
-		c.order = append(c.order, e.Block)
-	}
-	c.blocks[e.Block] = e.Seq
-	for len(c.blocks) > maxCacheEntries || len(c.order) > 2*maxCacheEntries {
-		delete(c.blocks, c.order[0])
-		c.order = c.order[1:]
+	if e.Kind == cacheStored {
+		c.view.store(e.Block)
+	} else {
+		c.view.remove(e.Block)
 	}
 }
 
-// View returns the blocks that the engine is thought to hold.
-func (c *Cache) View() wire.CacheView {
+// Since returns the changes of the view after a mark, as many as fit a reply.
+// A mark of another epoch, or one older than the removals that are still
+// known, starts a whole view.
+func (c *Cache) Since(known wire.CacheMark) wire.CacheChanges {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	view := wire.CacheView{Epoch: c.epoch, Entries: make([]uint64, 0, len(c.blocks))}
-	for block := range c.blocks {
-		view.Entries = append(view.Entries, block)
+	var changes wire.CacheChanges
+	if known.Epoch != c.epoch || !c.view.covers(known) {
+		changes.Whole = true
+		known = wire.CacheMark{Epoch: c.epoch, Start: c.view.seq}
 	}
-	return view
+	changes.Mark = known
+	c.view.since(&changes)
+	return changes
 }
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -5,19 +5,20 @@
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
 // cache is the router's estimate of one server's prefix cache: what it placed
 // there itself, corrected by the engine's late events. Not safe for
 // concurrent use.
 type cache struct {
-	blocks *simplelru.LRU[uint64, int64] // when this router last placed it there, Unix ns; 0: only told
-	epoch  uint64
-	told   map[uint64]struct{} // the last view of this epoch
+	blocks *simplelru.LRU[wire.ShortBlock, int64] // when this router last placed it there, Unix ns; 0: only told
+	mark   wire.CacheMark                         // up to where changes were taken in
 }
 
 func newCache(capacity int) *cache {
-	blocks, err := simplelru.NewLRU[uint64, int64](capacity, nil)
+	blocks, err := simplelru.NewLRU[wire.ShortBlock, int64](capacity, nil)
 	if err != nil {
 		panic(err) // the capacity is not positive
 	}
@@ -27,46 +28,49 @@
 // depth returns how many blocks from the first on are probably cached.
 func (c *cache) depth(blocks []uint64) int {
 	// A block is used whenever one after it is, so what is held is a prefix.
-	return sort.Search(len(blocks), func(i int) bool { return !c.blocks.Contains(blocks[i]) })
+	return sort.Search(len(blocks), func(i int) bool { return !c.blocks.Contains(wire.Short(blocks[i])) })
 }
 
 // placed notes that a prompt with these blocks goes to the server. The first
 // blocks end as the most recent, so that tails are forgotten first.
 func (c *cache) placed(blocks []uint64, now time.Time) {
 	for i := len(blocks) - 1; i >= 0; i-- {
-		c.blocks.Add(blocks[i], now.UnixNano())
+		c.blocks.Add(wire.Short(blocks[i]), now.UnixNano())
 	}
 }
 
-// correct takes in a view of what the engine told in an epoch. What a view
-// had and the next one of the same epoch lacks was removed, unless it was
-// placed again within the lag. A new epoch says nothing of what was stored
-// before it: that stays until it is forgotten as the oldest, since a wrong
-// guess costs one prefill and a forgotten prefix costs one per server.
-func (c *cache) correct(epoch uint64, entries []uint64, now time.Time, lag time.Duration) {
-	known := make(map[uint64]struct{}, len(entries))
-	for _, block := range entries {
-		known[block] = struct{}{}
+// correct takes in the changes that a server told to a router with the mark
+// known. If that is not the mark any more, the reply is late or repeated and
+// is left out; what it told is asked for again. A removed block is forgotten
+// unless it was placed again within the lag.
+func (c *cache) correct(known wire.CacheMark, changes *wire.CacheChanges, now time.Time, lag time.Duration) {
+	if known != c.mark {
+		return
+	}
+	c.mark = changes.Mark
+	if changes.Whole {
+		c.forgetTold()
 	}
 	old := now.Add(-lag).UnixNano()
-	if epoch == c.epoch {
-		c.dropRemoved(known, old)
+	for block := range changes.Removed.All {
+		if placed, ok := c.blocks.Peek(block); ok && placed < old {
+			c.blocks.Remove(block)
+		}
 	}
-	for _, block := range entries {
+	for block := range changes.Stored.All {
 		if !c.blocks.Contains(block) {
 			c.blocks.Add(block, 0)
 		}
 	}
-	c.epoch, c.told = epoch, known
 }
 
-// dropRemoved forgets what the last view had and the newest lacks.
-func (c *cache) dropRemoved(known map[uint64]struct{}, old int64) {
-	for block := range c.told {
-		if _, ok := known[block]; ok {
-			continue
-		}
-		if placed, ok := c.blocks.Peek(block); ok && placed < old {
+// forgetTold drops the server's older view. What the router placed itself
+// stays until it is forgotten as the oldest or told as removed: lost events
+// prove nothing of it, and a wrong guess costs one prefill while a forgotten
+// prefix costs one per server.
+func (c *cache) forgetTold() {
+	for _, block := range c.blocks.Keys() {
+		if placed, ok := c.blocks.Peek(block); ok && placed == 0 {
 			c.blocks.Remove(block)
 		}
 	}
--- a/internal/placement/node.go
+++ b/internal/placement/node.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
 // Estimation of a server's speed.
@@ -139,7 +140,13 @@
 	}
 	own := n.ownAt(now.Add(-loadLag))
 	n.others = max(0, r.Running+r.Queued-own)
-	n.cache.correct(r.CacheEpoch, r.Cache, now, cacheLag)
+	n.cache.correct(r.Known, &r.Changes, now, cacheLag)
+}
+
+func (n *node) cacheMark() wire.CacheMark {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cache.mark
 }
 
 // ownAt returns how many of this router's runs were in flight at a past time.
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
 // Picker places the runs of one router. It is safe for concurrent use: each
@@ -182,6 +183,14 @@
 	}
 }
 
+// CacheMark returns up to where the changes of a server's cache are known.
+func (p *Picker) CacheMark(gate ident.Incarnation) wire.CacheMark {
+	if n := p.node(gate); n != nil {
+		return n.cacheMark()
+	}
+	return wire.CacheMark{}
+}
+
 // Failed notes that a server could not be reached or broke a run off.
 func (p *Picker) Failed(gate ident.Incarnation) {
 	if n := p.node(gate); n != nil {
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
 // RoleDecode is the role of servers that take no new prompts.
@@ -62,9 +63,10 @@
 	Queued  int
 	Slots   int
 	Models  []ident.ModelID // loaded now; empty if not known
-	// Cache is what the engine told of its prefix cache.
-	CacheEpoch uint64
-	Cache      []uint64
+	// Changes are those of the server's prefix cache after Known. They are
+	// left out if the router's mark is not Known any more.
+	Known   wire.CacheMark
+	Changes wire.CacheChanges
 }
 
 // Config sets a Picker up. The zero value of a field means its default.
--- a/internal/router/gates.go
+++ b/internal/router/gates.go
@@ -98,8 +98,8 @@
 	return reply.Tokens, err
 }
 
-func (g *gates) load(ctx context.Context, t filter.Target) (wire.LoadReply, error) {
-	args := wire.LoadArgs{Offsets: g.offsets()}
+func (g *gates) load(ctx context.Context, t filter.Target, known wire.CacheMark) (wire.LoadReply, error) {
+	args := wire.LoadArgs{Offsets: g.offsets(), Known: known}
 	var reply wire.LoadReply
 	err := g.call(ctx, t, loadTimeout, wire.MethodSideLoad, &args, &reply)
 	return reply, err
@@ -127,15 +127,16 @@
 	return 0, false
 }
 
-// report turns a side process's reply into what the placement reads.
-func report(l *wire.LoadReply) *placement.Report {
+// report turns a side process's reply to a router with this mark into what
+// the placement reads.
+func report(known wire.CacheMark, l *wire.LoadReply) *placement.Report {
 	return &placement.Report{
-		Leaving:    l.Leaving,
-		Running:    l.Running,
-		Queued:     l.Queued,
-		Slots:      l.Slots,
-		Models:     l.Models,
-		CacheEpoch: l.Cache.Epoch,
-		Cache:      l.Cache.Entries,
+		Leaving: l.Leaving,
+		Running: l.Running,
+		Queued:  l.Queued,
+		Slots:   l.Slots,
+		Models:  l.Models,
+		Known:   known,
+		Changes: l.Changes,
 	}
 }
--- a/internal/router/loads.go
+++ b/internal/router/loads.go
@@ -56,7 +56,8 @@
 // poll asks one server. Without an answer the last report stays; the runs
 // that this router places there are still counted.
 func (l *loads) poll(ctx context.Context, s *placement.Server) {
-	reply, err := l.gates.load(ctx, target(s))
+	known := l.picker.CacheMark(s.Gate)
+	reply, err := l.gates.load(ctx, target(s), known)
 	if err != nil {
 		l.polls.Inc("no_reply")
 		l.picker.Failed(s.Gate)
@@ -73,5 +74,5 @@
 		return
 	}
 	l.polls.Inc("answered")
-	l.picker.Report(s.Gate, report(&reply))
+	l.picker.Report(s.Gate, report(known, &reply))
 }
--- a/internal/side/methods.go
+++ b/internal/side/methods.go
@@ -15,9 +15,10 @@
 	Tokenize(ctx context.Context, body []byte) (int64, error)
 }
 
-// LoadSource tells what the side process knows of its backend server.
+// LoadSource tells what the side process knows of its backend server, and of
+// its prefix cache what changed since a mark.
 type LoadSource interface {
-	Load() wire.LoadReply
+	Load(known wire.CacheMark) wire.LoadReply
 }
 
 // Leaver starts the graceful stop of this side process.
@@ -63,8 +64,8 @@
 }
 
 // Load is wire.MethodSideLoad.
-func (m *Methods) Load(_ *wire.LoadArgs, reply *wire.LoadReply) error {
-	*reply = m.loads.Load()
+func (m *Methods) Load(args *wire.LoadArgs, reply *wire.LoadReply) error {
+	*reply = m.loads.Load(args.Known)
 	reply.Offsets = m.fleet.Offsets()
 	reply.Gate = m.gate.Incarnation()
 	reply.Leaving = m.gate.Leaving()
--- a/internal/side/monitor.go
+++ b/internal/side/monitor.go
@@ -75,7 +75,7 @@
 
 // Load implements LoadSource. The engine's count of runs lags, so that the
 // gate's own count stands in if it is higher.
-func (m *Monitor) Load() wire.LoadReply {
+func (m *Monitor) Load(known wire.CacheMark) wire.LoadReply {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return wire.LoadReply{
@@ -87,7 +87,7 @@
 		Adapters:    m.inventory.Adapters,
 		Role:        m.inventory.Role,
 		Service:     m.gate.FirstEvent(),
-		Cache:       m.cache.View(),
+		Changes:     m.cache.Since(known),
 		Unreachable: time.Since(m.answered) > unreachableAfter,
 	}
 }
@@ -99,6 +99,6 @@
 }
 
 // Load implements LoadSource.
-func (p plainLoad) Load() wire.LoadReply {
+func (p plainLoad) Load(wire.CacheMark) wire.LoadReply {
 	return wire.LoadReply{Server: p.server, Running: p.gate.Running(), Service: p.gate.FirstEvent()}
 }
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -64,9 +64,11 @@
 	Elsewhere ident.Incarnation
 }
 
-// LoadArgs asks for a side process's load.
+// LoadArgs asks for a side process's load and for the changes of its view of
+// the engine's prefix cache since a mark.
 type LoadArgs struct {
 	Offsets Offsets
+	Known   CacheMark
 }
 
 // LoadReply describes a backend server as its side process sees it.
@@ -82,20 +84,14 @@
 	Adapters []ident.AdapterID
 	Role     string
 	Service  time.Duration // recent time to the first token
-	Cache    CacheView
+	// Changes is what the engine has told of its prefix cache since the mark
+	// in the args. At most MaxCacheChanges are told at once.
+	Changes CacheChanges
 	// Unreachable tells that the backend server does not answer its side
 	// process; the other fields are older then.
 	Unreachable bool
 }
 
-// CacheView is what the engine has told of its prefix cache. Entries are
-// hashes of prompt blocks; a change of Epoch means that events were lost and
-// earlier views are void.
-type CacheView struct {
-	Epoch   uint64
-	Entries []uint64
-}
-
 // CountArgs asks the engine to count the tokens of a prompt.
 type CountArgs struct {
 	Offsets Offsets
