--- a/internal/measure/sidecost/sidecost.go
+++ b/internal/measure/sidecost/sidecost.go
@@ -13,7 +13,7 @@
 var Group = measure.Group{Name: "side", Run: run}
 
 func run(ctx context.Context, emit measure.Emit) error {
-	steps := []func(context.Context, measure.Emit) error{begin, frames, paced, leaving, silence}
+	steps := []func(context.Context, measure.Emit) error{begin, frames, paced, leaving, silence, loadReply}
 	for _, step := range steps {
 		if err := step(ctx, emit); err != nil {
 			return err
