--- a/internal/side/listener_test.go
+++ b/internal/side/listener_test.go
@@ -80,6 +80,10 @@
 		call(wire.MethodSideLoad, &wire.LoadArgs{}, &load)
 		require.Equal(t, 1, load.Running)
 		require.Equal(t, gate, load.Gate)
+		require.True(t, load.Changes.Whole, "the caller has no view")
+		var next wire.LoadReply
+		call(wire.MethodSideLoad, &wire.LoadArgs{Known: load.Changes.Mark}, &next)
+		require.False(t, next.Changes.Whole)
 		var ping wire.PingReply
 		call("Side."+wire.MethodPing, &wire.PingArgs{}, &ping)
 		require.Equal(t, gate, ping.Incarnation)
