Cache views: a gap in the engine's events drops nothing that a router was told

Cause: with the views sent as changes, a router dropped at every new epoch what it had only been told. A view is dropped only when the router itself missed removals within an epoch.

Side processes deregister through the node, so they do not warn either.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -255,6 +255,11 @@
 	if n.Incarnation() == 0 {
 		return nil
 	}
+	return n.Deregister(ctx)
+}
+
+// Deregister ends the own life. It may be called again after it failed.
+func (n *Node) Deregister(ctx context.Context) error {
 	r, err := record.New(fleet.KindDeregister, fleet.Deregister{Incarnation: n.Incarnation()})
 	if err != nil {
 		return err
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -47,8 +47,9 @@
 	if known != c.mark {
 		return
 	}
+	sameEpoch := c.mark.Epoch == changes.Mark.Epoch
 	c.mark = changes.Mark
-	if changes.Whole {
+	if changes.Whole && sameEpoch {
 		c.forgetTold()
 	}
 	old := now.Add(-lag).UnixNano()
@@ -64,10 +65,11 @@
 	}
 }
 
-// forgetTold drops the server's older view. What the router placed itself
-// stays until it is forgotten as the oldest or told as removed: lost events
-// prove nothing of it, and a wrong guess costs one prefill while a forgotten
-// prefix costs one per server.
+// forgetTold drops the server's older view, of which removals were missed.
+// What the router placed itself stays until it is forgotten as the oldest or
+// told as removed. A new epoch drops nothing: the side process has lost events
+// too and tells only what it has heard since, which proves nothing of the rest.
+// A wrong guess costs one prefill, a forgotten prefix costs one per server.
 func (c *cache) forgetTold() {
 	for _, block := range c.blocks.Keys() {
 		if placed, ok := c.blocks.Peek(block); ok && placed == 0 {
--- a/internal/side/stop.go
+++ b/internal/side/stop.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/camphorlever/camphorlever/internal/fleet"
-	"github.com/camphorlever/camphorlever/internal/record"
 	"github.com/camphorlever/camphorlever/internal/vmlist"
 )
 
@@ -94,13 +92,9 @@
 // deregister repeats until the record was read back: a life that has
 // deregistered holds nothing up.
 func (p *Process) deregister() {
-	r, err := record.New(fleet.KindDeregister, fleet.Deregister{Incarnation: p.node.Incarnation()})
-	if err != nil {
-		panic(err) // the record can always be encoded
-	}
 	for {
 		ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
-		_, err := p.node.SubmitFleet(ctx, r)
+		err := p.node.Deregister(ctx)
 		cancel()
 		if err == nil {
 			return
--- a/internal/wire/cache.go
+++ b/internal/wire/cache.go
@@ -44,14 +44,14 @@
 // it got with the last changes that it took in. The zero value is the mark of
 // a router that has nothing.
 type CacheMark struct {
-	Epoch uint64 // raised when events were lost, which voids earlier views
+	Epoch uint64 // raised when events were lost
 	Seq   uint64 // of the last change that the router has
 	Start uint64 // the last change before the router got its first blocks of the epoch
 }
 
 // CacheChanges are changes of the view after the mark that was asked with.
 // There may be more after Mark, which the next reply brings. Whole says that
-// they start a new view and that all that was told before is void.
+// they start the view anew: removals before the mark may be missing.
 type CacheChanges struct {
 	Mark    CacheMark
 	Whole   bool
