End-to-end tests: their processes end with the test program

A test program that ran into its time limit had left seven processes behind, since it ends without its clean-up.

--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -87,6 +87,8 @@
 	require.NoError(t, err)
 	p.cmd = exec.Command(filepath.Join(binaries, program), args...)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
+	// No process outlives a test program that ends without its clean-up.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	require.NoError(t, p.cmd.Start())
 	go func() {
 		p.err = p.cmd.Wait()
