An engine that has ended is given up after 2 s; rights are checked before values; one default of ledger shards

Cause: after an engine had died its streams were resumed for 10 s, although connections to it were refused. Nothing listens there then, and its streams are gone with it; a dial without an answer still waits, since a frozen engine wakes. Ruled out: giving up at the first refusal; an engine's listener may be reopened. Seen failing: TestEndedEngineIsGivenUpSoon without the rule.

A change's value was checked before its author's rights, so what was wrong with it could tell of other teams' keys. The side process had 1 ledger shard by default and the router 4.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -122,6 +122,7 @@
 			{"root", "PUT", "settings/nothing/x", `{"id":"x","base":1,"value":{}}`, 400, "path"},
 			{"root", "PUT", "settings/models/reader", `{"id":"x","base":1,"value":null}`, 400, "still named by teams/waco"},
 			{"ana", "PUT", "settings/models/reader", `{"id":"x","base":1,"value":{}}`, 403, "no right"},
+			{"ana", "PUT", "settings/teams/other", `{"id":"x","base":1,"value":{"models":["gone"]}}`, 403, "no right"},
 			{"ana", "POST", "topups", `{"id":"p","team":"elsewhere","tokens":5}`, 404, "no team"},
 			{"ana", "POST", "topups", `{"id":"p","team":"waco","tokens":-5}`, 400, "tokens"},
 			{"ana", "POST", "topups", `{"team":"waco","tokens":5}`, 400, "id"},
--- a/internal/admin/settings.go
+++ b/internal/admin/settings.go
@@ -120,10 +120,17 @@
 
 // check validates a change before it is published.
 func (a *API) check(c *call, change settings.Change) *refusal.Refusal {
+	if !change.Path.Valid() {
+		return badRequest(string(change.Path) + ": " + c.tree.Check(change.Path, change.Value).Error() + ".")
+	}
+	// What is wrong with a value may tell of others' subtrees.
+	if refused := c.mayChange(change.Path); refused != nil {
+		return refused
+	}
 	if err := c.tree.Check(change.Path, change.Value); err != nil {
 		return badRequest(string(change.Path) + ": " + err.Error() + ".")
 	}
-	return c.mayChange(change.Path)
+	return nil
 }
 
 // change publishes a change and reports the fold's verdict.
--- a/internal/engine/cases_test.go
+++ b/internal/engine/cases_test.go
@@ -150,6 +150,25 @@
 	})
 }
 
+// An engine that has ended is given up sooner than one that is silent.
+func TestEndedEngineIsGivenUpSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var engine *fakeEngine
+		engine, client, stop := newFake(t, func(_ int, w http.ResponseWriter, _ *http.Request) {
+			tokens(w, chatID, 0, 2)
+			engine.listener.Refuse(true)
+			panic(http.ErrAbortHandler)
+		})
+		defer stop()
+		start := time.Now()
+		got := client.Run(t.Context(), chatJob(), &recorder{})
+		require.False(t, got.Complete)
+		require.True(t, got.Reached)
+		require.GreaterOrEqual(t, time.Since(start), refusedGiveUp)
+		require.Less(t, time.Since(start), refusedGiveUp+3*time.Second)
+	})
+}
+
 // The engine numbers its events: late repeats are dropped, and a gap is filled
 // through a new connection.
 func TestNumberedEvents(t *testing.T) {
--- a/internal/engine/chat.go
+++ b/internal/engine/chat.go
@@ -92,6 +92,7 @@
 	next    uint64 // index of the next event
 	ended   bool   // an end marker came without usage
 	endedAt uint64 // index of the next event then
+	notOpen bool   // the last dial was refused
 	outcome gate.Outcome
 }
 
@@ -133,6 +134,7 @@
 	response, err := r.client.http.Do(request.WithContext(watch.ctx))
 	if err != nil {
 		if notSent(err) {
+			r.notOpen = refused(err)
 			return r.failed(endNotSent, "engine is not reachable")
 		}
 		return r.broken(watch)
--- a/internal/engine/resume.go
+++ b/internal/engine/resume.go
@@ -14,7 +14,7 @@
 // long. An engine that answers a load request is alive: it may take its time
 // before the first token.
 func (r *chatRun) resumeUntilEnd(ctx context.Context) streamEnd {
-	alive := time.Now()
+	alive, refusing := time.Now(), time.Time{}
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		before := r.next
 		end := r.resume(ctx)
@@ -22,13 +22,14 @@
 			return end
 		}
 		if r.next > before {
-			alive, attempt = time.Now(), 0
+			alive, refusing, attempt = time.Now(), time.Time{}, 0
 			continue
 		}
 		if r.client.answers(ctx) {
 			alive = time.Now()
 		}
-		if time.Since(alive) >= r.client.config.GiveUp {
+		refusing = sinceRefused(refusing, end == endNotSent && r.notOpen)
+		if time.Since(alive) >= r.client.config.GiveUp || gone(refusing) {
 			r.client.counts.Inc("gave_up")
 			return r.failed(endBroken, "engine is silent")
 		}
@@ -37,6 +38,26 @@
 	return r.failed(endBroken, "stopped")
 }
 
+// refusedGiveUp is how long an engine may refuse connections. Nothing listens
+// there then: it has ended, and its streams with it.
+const refusedGiveUp = 2 * time.Second
+
+// sinceRefused returns since when connections are refused, zero if the last
+// attempt was not.
+func sinceRefused(since time.Time, refused bool) time.Time {
+	if !refused {
+		return time.Time{}
+	}
+	if since.IsZero() {
+		return time.Now()
+	}
+	return since
+}
+
+func gone(since time.Time) bool {
+	return !since.IsZero() && time.Since(since) >= refusedGiveUp
+}
+
 // resume asks for the stream from the next event on.
 func (r *chatRun) resume(ctx context.Context) streamEnd {
 	r.client.counts.Inc("stream_resumed")
--- a/internal/engine/silence.go
+++ b/internal/engine/silence.go
@@ -68,3 +68,10 @@
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
 }
+
+// refused reports whether nothing listens at the address, as against a dial
+// that got no answer.
+func refused(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial" && !op.Timeout()
+}
--- a/internal/side/options.go
+++ b/internal/side/options.go
@@ -25,7 +25,7 @@
 
 // DefaultOptions returns what holds for fields that a file does not name.
 func DefaultOptions() Options {
-	return Options{LedgerShards: 1, LogLevel: "info"}
+	return Options{LedgerShards: 4, LogLevel: "info"}
 }
 
 // Validate implements options.Validator.
