--- a/internal/filter/stream/begin.go
+++ b/internal/filter/stream/begin.go
@@ -111,7 +111,7 @@
 // begun acts on the gate's answer.
 func (a *attempt) begun(s Stream) filter.Outcome {
 	outcome := s.First().Outcome
-	a.begins.Inc(outcomeName(outcome))
+	a.begins.Inc(outcome.String())
 	switch outcome {
 	case wire.BeginStarted:
 		return a.serve(s, true)
--- a/internal/gate/begin.go
+++ b/internal/gate/begin.go
@@ -17,7 +17,7 @@
 // are ahead of the gate's lets it catch up before.
 func (g *Gate) Begin(request *wire.BeginRequest) (*Answer, wire.BeginOutcome) {
 	answer, outcome := g.begin(request)
-	g.counts.Inc(outcomeNames[outcome])
+	g.counts.Inc(outcome.String())
 	return answer, outcome
 }
 
@@ -143,7 +143,7 @@
 	answer, outcome := g.resume(request)
 	answer.request, answer.attempt = request.Request, request.Attempt
 	answer.outcome = outcome
-	g.counts.Inc("resume_" + outcomeNames[outcome])
+	g.counts.Inc("resume_" + outcome.String())
 	return answer, outcome
 }
 
@@ -181,17 +181,3 @@
 func ahead(theirs, own wire.Offsets) bool {
 	return theirs.Settings > own.Settings || theirs.Fleet > own.Fleet
 }
-
-var outcomeNames = map[wire.BeginOutcome]string{
-	wire.BeginStarted:  "started",
-	wire.BeginRunning:  "running",
-	wire.BeginDone:     "done",
-	wire.BeginGone:     "gone",
-	wire.BeginSealed:   "sealed",
-	wire.BeginLeaving:  "leaving",
-	wire.BeginBehind:   "behind",
-	wire.BeginConflict: "conflict",
-	wire.BeginFull:     "full",
-	wire.BeginUnknown:  "unknown",
-	wire.BeginStranger: "stranger",
-}
--- a/internal/gate/begin_test.go
+++ b/internal/gate/begin_test.go
@@ -63,7 +63,7 @@
 				request := beginOf(keyOf(1))
 				c.before(b, request)
 				answer, got := b.Begin(request)
-				require.Equal(t, outcomeNames[c.want], outcomeNames[got])
+				require.Equal(t, c.want.String(), got.String())
 				frame, err := answer.Next(t.Context())
 				require.NoError(t, err)
 				require.Equal(t, c.want, frame.Outcome)
--- a/internal/gate/run_test.go
+++ b/internal/gate/run_test.go
@@ -189,7 +189,7 @@
 		want := []wire.BeginOutcome{wire.BeginGone, wire.BeginGone, wire.BeginDone, wire.BeginDone}
 		for k, outcome := range want {
 			_, got := b.Begin(beginOf(keyOf(k)))
-			require.Equal(t, outcomeNames[outcome], outcomeNames[got], "key %d", k)
+			require.Equal(t, outcome.String(), got.String(), "key %d", k)
 			require.Equal(t, 1, b.backend.started(keyOf(k)))
 		}
 		require.NotContains(t, b.shardOf(keyOf(0)).runs, keyOf(0), "only a tombstone is left")
