A gate that takes no new work withdraws its claim, so that an order is not stuck with it

Cause, found by reading: the claim of a key names one gate for good. If that gate was leaving, full or sealed when it was asked, the order was refused as not_run, and every retry with its key went to the same gate until it was gone, and then heard outcome_unknown, although the order had never run. The fold knew Void, but nobody wrote it. Ruled out: letting the router void the claim; only the gate knows that it has not started the key and never will. Now the router asks the gate to seal the key and to withdraw the claim, waits until it has read that itself, and tries another gate. Seen failing: TestControlMethods with a running key's claim withdrawn and with an unknown key not withdrawn, TestAWithdrawnClaimMayBeTriedElsewhere without the gate's word, and with outcomes that may have run. Not proved with real processes.

--- a/internal/filter/once/handler.go
+++ b/internal/filter/once/handler.go
@@ -38,7 +38,7 @@
 	}
 	if claim.Won {
 		h.counters.Inc("claimed")
-		return final(next(ctx, r))
+		return h.conclude(ctx, r, next(ctx, r))
 	}
 	return h.follow(ctx, r, claim.Gate, next)
 }
@@ -57,7 +57,18 @@
 		r.Placed = filter.Unplaced{}
 	}
 	r.Target = target
-	return final(next(ctx, r))
+	return h.conclude(ctx, r, next(ctx, r))
+}
+
+// conclude lets a request that its gate has not run be tried at another, if
+// the gate withdraws its claim. Otherwise the claim names one gate for good.
+func (h *handler) conclude(ctx context.Context, r *filter.Request, out filter.Outcome) filter.Outcome {
+	notRun := out.Refusal != nil && out.Refusal.Ran == refusal.NotRun
+	if out.Retry != "" && notRun && h.gates.Void(ctx, r.Target, r.Caller.Team, r.Key) {
+		h.counters.Inc("voided")
+		return out
+	}
+	return final(out)
 }
 
 // unclaimed serves a request whose claim has no verdict. This request has not
--- a/internal/filter/once/once_test.go
+++ b/internal/filter/once/once_test.go
@@ -19,9 +19,12 @@
 	known  ident.Incarnation // of a claim that was read before
 	live   map[ident.Incarnation]bool
 	states map[ident.Incarnation]wire.KeyState // of gates that answer
+	voids  bool                                // the gate withdraws its claim
 	asked  int
 }
 
+func (f *fakes) Void(context.Context, filter.Target, ident.TeamID, ident.Key) bool { return f.voids }
+
 func (f *fakes) Gates(*filter.Request) []filter.Target {
 	return []filter.Target{{Gate: 7}, {Gate: 9}}
 }
@@ -92,3 +95,27 @@
 		})
 	}
 }
+
+func TestAWithdrawnClaimMayBeTriedElsewhere(t *testing.T) {
+	leaving := filter.Outcome{Refusal: refusal.New(refusal.NoServer, refusal.NotRun, "leaving"), Retry: "refused"}
+	unknown := filter.Outcome{Refusal: refusal.New(refusal.OutcomeUnknown, refusal.Unknown, "lost"), Retry: "lost"}
+	for name, c := range map[string]struct {
+		out   filter.Outcome
+		voids bool
+		retry filter.RetryReason
+	}{
+		"withdrawn":      {leaving, true, "refused"},
+		"not withdrawn":  {leaving, false, ""},
+		"may have run":   {unknown, true, ""},
+		"has its answer": {filter.Answered(), true, ""},
+		"final not run":  {filter.Refused(refusal.KeyReused, refusal.NotRun, "x"), true, ""},
+		"backend failed": {filter.Outcome{Refusal: refusal.New(refusal.BackendFailed, refusal.DidRun, "x"), Retry: "failed"}, true, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := fakes{claim: Claim{Won: true, Gate: 7}, voids: c.voids}
+			r := &filter.Request{Once: true, CallerKey: "order", Target: filter.Target{Gate: 7}}
+			out := New(&f, &f, &f).Handle(t.Context(), r, func(context.Context, *filter.Request) filter.Outcome { return c.out })
+			require.Equal(t, c.retry, out.Retry)
+		})
+	}
+}
--- a/internal/filter/once/setup.go
+++ b/internal/filter/once/setup.go
@@ -35,6 +35,9 @@
 // Gates asks gates about keys.
 type Gates interface {
 	Lookup(ctx context.Context, target filter.Target, key ident.Key) (wire.LookupReply, error)
+	// Void makes a gate withdraw its claim of a key that it has not started
+	// and now never will, and reports whether that is known here.
+	Void(ctx context.Context, target filter.Target, team ident.TeamID, key ident.Key) bool
 }
 
 // Members finds the gate that an earlier claim names.
--- a/internal/router/gates.go
+++ b/internal/router/gates.go
@@ -19,6 +19,7 @@
 const (
 	sealAttempts = 3
 	sealTimeout  = 2 * time.Second // of each attempt
+	voidTimeout  = 3 * time.Second
 	countTimeout = 500 * time.Millisecond
 	loadTimeout  = 800 * time.Millisecond
 )
@@ -27,6 +28,7 @@
 type gates struct {
 	offsets func() wire.Offsets
 	dial    func(address string) rpc.Caller
+	catchUp func(ctx context.Context, team ident.TeamID) error // with the team's ledger
 
 	mu      sync.Mutex // guards callers
 	callers map[relay.Peer]rpc.Caller
@@ -77,6 +79,20 @@
 	return wire.SealKeyReply{}, errors.Wrap(err, "seal key")
 }
 
+// Void implements once.Gates. The withdrawal is read here too before it counts,
+// so that the old claim is not followed again.
+func (g *gates) Void(ctx context.Context, t filter.Target, team ident.TeamID, key ident.Key) bool {
+	args := wire.SealKeyArgs{Offsets: g.offsets(), Gate: t.Gate, Key: key, Void: team}
+	var reply wire.SealKeyReply
+	err := g.call(ctx, t, voidTimeout, wire.MethodSideSealKey, &args, &reply)
+	if err != nil || !reply.Voided || reply.Gate != t.Gate {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, voidTimeout)
+	defer cancel()
+	return g.catchUp(ctx, team) == nil
+}
+
 // Cancel implements stream.Gates.
 func (g *gates) Cancel(ctx context.Context, t filter.Target, key ident.Key) error {
 	args := wire.CancelArgs{Offsets: g.offsets(), Key: key}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -88,6 +88,7 @@
 	}, log, vms, logger)
 	r.state = &state{ready: r.node.Ready}
 	r.gates = newGates(r.node.Offsets, r.dial(node.ServiceSide))
+	r.gates.catchUp = r.node.Ledger().CatchUp
 	r.routers = &routers{
 		members: r.node.Members,
 		offsets: r.node.Offsets,
--- a/internal/side/listener_test.go
+++ b/internal/side/listener_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/camphorlever/camphorlever/internal/fleet"
 	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/ledger"
 	"github.com/camphorlever/camphorlever/internal/node"
 	"github.com/camphorlever/camphorlever/internal/record"
 	"github.com/camphorlever/camphorlever/internal/rpc"
@@ -73,6 +74,20 @@
 		require.Equal(t, wire.KeyUnknown, sealed.Was)
 		call(wire.MethodSideSealKey, &wire.SealKeyArgs{Gate: gate, Key: request.Key}, &running)
 		require.Equal(t, wire.KeyRunning, running.Was)
+		w.submit(ledger.KindClaim, ledger.Claim{Team: team, Key: other, Gate: gate})
+		w.submit(ledger.KindClaim, ledger.Claim{Team: team, Key: request.Key, Gate: gate})
+		call(wire.MethodSideSealKey, &wire.SealKeyArgs{Gate: gate, Key: request.Key, Void: team}, &running)
+		require.False(t, running.Voided, "it runs: its claim stands")
+		call(wire.MethodSideSealKey, &wire.SealKeyArgs{Gate: gate, Key: other, Void: team}, &sealed)
+		require.True(t, sealed.Voided, "it never started")
+		fresh := ident.HashKey(team, "fresh")
+		w.submit(ledger.KindClaim, ledger.Claim{Team: team, Key: fresh, Gate: gate})
+		var first wire.SealKeyReply
+		call(wire.MethodSideSealKey, &wire.SealKeyArgs{Gate: gate, Key: fresh, Void: team}, &first)
+		require.True(t, first.Voided, "sealed and withdrawn in one call")
+		var again wire.SealKeyReply
+		call(wire.MethodSideSealKey, &wire.SealKeyArgs{Gate: gate, Key: fresh, Void: team}, &again)
+		require.False(t, again.Voided, "there is no claim any more")
 		var count wire.CountReply
 		call(wire.MethodSideCount, &wire.CountArgs{Body: request.Call.Body}, &count)
 		require.EqualValues(t, 4, count.Tokens)
--- a/internal/side/methods.go
+++ b/internal/side/methods.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/camphorlever/camphorlever/internal/gate"
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/ledger"
 	"github.com/camphorlever/camphorlever/internal/node"
+	"github.com/camphorlever/camphorlever/internal/record"
 	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
@@ -34,8 +38,18 @@
 	counter      PromptCounter
 	loads        LoadSource
 	leaver       Leaver
+	claims       TeamLedger
 }
 
+// TeamLedger writes records of one team to the ledger.
+type TeamLedger interface {
+	// Submit returns the fold's verdicts after the records were read back.
+	Submit(ctx context.Context, team ident.TeamID, records ...record.Record) ([]ledger.Verdict, error)
+}
+
+// voidTimeout bounds the wait for the withdrawal of a claim.
+const voidTimeout = 2 * time.Second
+
 // SealKey is wire.MethodSideSealKey. A caller that means another incarnation
 // learns the own one, and nothing is sealed.
 func (m *Methods) SealKey(args *wire.SealKeyArgs, reply *wire.SealKeyReply) error {
@@ -45,9 +59,26 @@
 		return nil
 	}
 	reply.Was = m.gate.SealKey(args.Key)
+	unstarted := reply.Was == wire.KeyUnknown || reply.Was == wire.KeySealed
+	if args.Void != "" && unstarted {
+		reply.Voided = m.void(args.Void, args.Key)
+	}
 	return nil
 }
 
+// void withdraws the claim of a sealed key that has not started, and reports
+// whether it is known to be withdrawn.
+func (m *Methods) void(team ident.TeamID, key ident.Key) bool {
+	r, err := record.New(ledger.KindVoid, ledger.Void{Team: team, Key: key})
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), voidTimeout)
+	defer cancel()
+	verdicts, err := m.claims.Submit(ctx, team, r)
+	return err == nil && len(verdicts) == 1 && verdicts[0].Outcome == ledger.Accepted
+}
+
 // Lookup is wire.MethodSideLookup.
 func (m *Methods) Lookup(args *wire.LookupArgs, reply *wire.LookupReply) error {
 	reply.Offsets = m.fleet.Offsets()
--- a/internal/side/process.go
+++ b/internal/side/process.go
@@ -96,7 +96,7 @@
 }
 
 func (p *Process) methods(logger zerolog.Logger) *Methods {
-	methods := &Methods{Service: p.node.Service(), gate: p.gate, fleet: p.node, counter: p.client, leaver: p}
+	methods := &Methods{Service: p.node.Service(), gate: p.gate, fleet: p.node, counter: p.client, leaver: p, claims: p.node.Ledger()}
 	if p.options.Service {
 		methods.loads = plainLoad{gate: p.gate, server: p.options.Server}
 		return methods
--- a/internal/side/world_test.go
+++ b/internal/side/world_test.go
@@ -131,6 +131,7 @@
 
 func (w *world) startSide(backend *pipetest.Listener) {
 	options := DefaultOptions()
+	options.LedgerShards = 1
 	options.VM, options.DataCentre, options.Server = "vm-s", "dc", "s"
 	options.InternalAdvertise, options.FleetKey = "s", fleetKey
 	options.EngineURL = "http://engine"
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -38,6 +38,9 @@
 	Offsets Offsets
 	Gate    ident.Incarnation
 	Key     ident.Key
+	// Void names the team whose claim of the key the gate is to withdraw if
+	// the key has not run; empty leaves claims alone.
+	Void ident.TeamID
 }
 
 // SealKeyReply tells what the key's state was. KeyUnknown or KeySealed mean
@@ -46,6 +49,7 @@
 	Offsets Offsets
 	Gate    ident.Incarnation // who answers; differs from the args if replaced
 	Was     KeyState
+	Voided  bool // the claim was withdrawn: another gate may run the key
 }
 
 // LookupArgs asks a gate what it knows of a key.
