--- a/cmd/camphor-side/main.go
+++ b/cmd/camphor-side/main.go
@@ -23,10 +23,10 @@
 	"github.com/camphorlever/camphorlever/internal/vmlist"
 )
 
-const (
-	version           = "0.1.0"
-	readHeaderTimeout = 5 * time.Second
-)
+// version is set by the linker.
+var version = "dev"
+
+const readHeaderTimeout = 5 * time.Second
 
 type flags struct {
 	Config  string           `required:"" help:"Settings file (JSON)." type:"path"`
