A retry is told not_run only on the word of the gate that an earlier request claimed

An unreachable or replaced gate may have run the key before; and since claims can move, a router that had not read the withdrawal asked the old gate while the key ran at another. Ruled out: asking the log first for every retry; a claim that was read has to do while the log is down, when the gate has the answer. Now the gate must say that it never started the key, and the log must be read to its end without another gate's claim; else the outcome is unknown. Seen failing: TestAGateThatDoesNotRunItsClaim with the refusal passed on, with the log not read, and with a withdrawn claim taken for a standing one.

--- a/internal/filter/once/handler.go
+++ b/internal/filter/once/handler.go
@@ -25,7 +25,8 @@
 	if !r.Once {
 		return next(ctx, r)
 	}
-	// A claim never changes its gate, so one that was read needs no log.
+	// Only the gate that a claim names may run the key, so one that was read
+	// needs no log.
 	if gate, known := h.claims.Known(r.Caller.Team, r.Key); known {
 		return h.follow(ctx, r, gate, next)
 	}
@@ -38,37 +39,83 @@
 	}
 	if claim.Won {
 		h.counters.Inc("claimed")
-		return h.conclude(ctx, r, next(ctx, r))
+		return h.claimed(ctx, r, next)
 	}
 	return h.follow(ctx, r, claim.Gate, next)
 }
 
+// claimed asks the gate that this request has claimed. If it does not run the
+// request and withdraws the claim, another gate may be tried.
+func (h *handler) claimed(ctx context.Context, r *filter.Request, next filter.Next) filter.Outcome {
+	out := next(ctx, r)
+	if untried(out) && h.void(ctx, r) == Withdrawn {
+		return out
+	}
+	return final(out)
+}
+
 // follow asks the gate of an earlier claim: it starts the key if no earlier
 // request reached it, or gives the answer of the run that it made.
 func (h *handler) follow(ctx context.Context, r *filter.Request, gate ident.Incarnation, next filter.Next) filter.Outcome {
 	target, ok := h.members.Gate(gate)
 	if !ok {
 		h.counters.Inc("gate_gone")
-		return filter.Refused(refusal.OutcomeUnknown, refusal.Unknown,
-			"An earlier request with this key was claimed for a backend server that is gone; it may have run.")
+		return unknown("An earlier request with this key was claimed for a backend server that is gone; it may have run.")
 	}
 	h.counters.Inc("claimed_before")
 	if target.Gate != r.Target.Gate {
 		r.Placed = filter.Unplaced{}
 	}
 	r.Target = target
-	return h.conclude(ctx, r, next(ctx, r))
+	out := next(ctx, r)
+	if !untried(out) {
+		return final(out)
+	}
+	return h.denied(ctx, r, out)
 }
 
-// conclude lets a request that its gate has not run be tried at another, if
-// the gate withdraws its claim. Otherwise the claim names one gate for good.
-func (h *handler) conclude(ctx context.Context, r *filter.Request, out filter.Outcome) filter.Outcome {
-	notRun := out.Refusal != nil && out.Refusal.Ran == refusal.NotRun
-	if out.Retry != "" && notRun && h.gates.Void(ctx, r.Target, r.Caller.Team, r.Key) {
-		h.counters.Inc("voided")
+// denied decides what a request hears whose earlier claim's gate has not run
+// it now. An earlier request may have: only the gate's own word that it never
+// started the key, and a claim that still names this gate or none, make it
+// true that it has not run.
+func (h *handler) denied(ctx context.Context, r *filter.Request, out filter.Outcome) filter.Outcome {
+	switch h.void(ctx, r) {
+	case Withdrawn:
 		return out
+	case Unstarted:
+		if h.stands(ctx, r) {
+			return final(out)
+		}
 	}
-	return final(out)
+	return unknown("The backend server that an earlier request with this key was claimed for cannot be asked now; it may have run.")
+}
+
+// stands reports whether no other gate has claimed the key up to now.
+func (h *handler) stands(ctx context.Context, r *filter.Request) bool {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	if h.claims.CatchUp(ctx, r.Caller.Team) != nil {
+		return false
+	}
+	gate, known := h.claims.Known(r.Caller.Team, r.Key)
+	return !known || gate == r.Target.Gate
+}
+
+func (h *handler) void(ctx context.Context, r *filter.Request) Withdrawal {
+	w := h.gates.Void(ctx, r.Target, r.Caller.Team, r.Key)
+	if w == Withdrawn {
+		h.counters.Inc("voided")
+	}
+	return w
+}
+
+// untried reports whether the gate has not run the request and another could.
+func untried(out filter.Outcome) bool {
+	return out.Retry != "" && out.Refusal != nil && out.Refusal.Ran == refusal.NotRun
+}
+
+func unknown(message string) filter.Outcome {
+	return filter.Refused(refusal.OutcomeUnknown, refusal.Unknown, message)
 }
 
 // unclaimed serves a request whose claim has no verdict. This request has not
@@ -83,8 +130,7 @@
 		return h.follow(ctx, r, found.Gate, next)
 	case silent:
 		h.counters.Inc("no_reply")
-		return filter.Refused(refusal.OutcomeUnknown, refusal.Unknown,
-			"The request cannot be claimed now, and a backend server that may have run it before does not answer.")
+		return unknown("The request cannot be claimed now, and a backend server that may have run it before does not answer.")
 	default:
 		return notClaimed()
 	}
--- a/internal/filter/once/once_test.go
+++ b/internal/filter/once/once_test.go
@@ -19,11 +19,20 @@
 	known  ident.Incarnation // of a claim that was read before
 	live   map[ident.Incarnation]bool
 	states map[ident.Incarnation]wire.KeyState // of gates that answer
-	voids  bool                                // the gate withdraws its claim
+	voids  Withdrawal                          // the gate's answer
+	later  ident.Incarnation                   // gate of the claim after the log was read to its end
+	behind error                               // of reading the log to its end
 	asked  int
 }
 
-func (f *fakes) Void(context.Context, filter.Target, ident.TeamID, ident.Key) bool { return f.voids }
+func (f *fakes) Void(context.Context, filter.Target, ident.TeamID, ident.Key) Withdrawal {
+	return f.voids
+}
+
+func (f *fakes) CatchUp(context.Context, ident.TeamID) error {
+	f.known = f.later
+	return f.behind
+}
 
 func (f *fakes) Gates(*filter.Request) []filter.Target {
 	return []filter.Target{{Gate: 7}, {Gate: 9}}
@@ -96,26 +105,46 @@
 	}
 }
 
-func TestAWithdrawnClaimMayBeTriedElsewhere(t *testing.T) {
+func TestAGateThatDoesNotRunItsClaim(t *testing.T) {
 	leaving := filter.Outcome{Refusal: refusal.New(refusal.NoServer, refusal.NotRun, "leaving"), Retry: "refused"}
-	unknown := filter.Outcome{Refusal: refusal.New(refusal.OutcomeUnknown, refusal.Unknown, "lost"), Retry: "lost"}
+	lost := filter.Outcome{Refusal: refusal.New(refusal.OutcomeUnknown, refusal.Unknown, "lost"), Retry: "lost"}
+	failed := filter.Outcome{Refusal: refusal.New(refusal.BackendFailed, refusal.DidRun, "x"), Retry: "failed"}
+	won := fakes{claim: Claim{Won: true, Gate: 7}}
+	old := fakes{known: 7, later: 7, live: map[ident.Incarnation]bool{7: true}}
+	with := func(f fakes, w Withdrawal) fakes {
+		f.voids = w
+		return f
+	}
+	moved := with(old, Unstarted)
+	moved.later = 9
+	unread := with(old, Unstarted)
+	unread.behind = errors.New("log down")
+	free := with(old, Unstarted)
+	free.later = 0
 	for name, c := range map[string]struct {
+		fakes fakes
 		out   filter.Outcome
-		voids bool
 		retry filter.RetryReason
+		ran   refusal.Ran
 	}{
-		"withdrawn":      {leaving, true, "refused"},
-		"not withdrawn":  {leaving, false, ""},
-		"may have run":   {unknown, true, ""},
-		"has its answer": {filter.Answered(), true, ""},
-		"final not run":  {filter.Refused(refusal.KeyReused, refusal.NotRun, "x"), true, ""},
-		"backend failed": {filter.Outcome{Refusal: refusal.New(refusal.BackendFailed, refusal.DidRun, "x"), Retry: "failed"}, true, ""},
+		"withdrawn":                     {with(won, Withdrawn), leaving, "refused", refusal.NotRun},
+		"not withdrawn":                 {with(won, Undecided), leaving, "", refusal.NotRun},
+		"may have run":                  {with(won, Withdrawn), lost, "", refusal.Unknown},
+		"final":                         {with(won, Withdrawn), filter.Refused(refusal.KeyReused, refusal.NotRun, "x"), "", refusal.NotRun},
+		"backend failed":                {with(won, Withdrawn), failed, "", refusal.DidRun},
+		"earlier claim, withdrawn":      {with(old, Withdrawn), leaving, "refused", refusal.NotRun},
+		"earlier claim, gate silent":    {with(old, Undecided), leaving, "", refusal.Unknown},
+		"earlier claim, never started":  {with(old, Unstarted), leaving, "", refusal.NotRun},
+		"earlier claim, withdrawn long": {free, leaving, "", refusal.NotRun},
+		"earlier claim, moved":          {moved, leaving, "", refusal.Unknown},
+		"earlier claim, log not read":   {unread, leaving, "", refusal.Unknown},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := fakes{claim: Claim{Won: true, Gate: 7}, voids: c.voids}
+			f := c.fakes
 			r := &filter.Request{Once: true, CallerKey: "order", Target: filter.Target{Gate: 7}}
 			out := New(&f, &f, &f).Handle(t.Context(), r, func(context.Context, *filter.Request) filter.Outcome { return c.out })
 			require.Equal(t, c.retry, out.Retry)
+			require.Equal(t, c.ran, out.Refusal.Ran)
 		})
 	}
 }
--- a/internal/filter/once/setup.go
+++ b/internal/filter/once/setup.go
@@ -30,16 +30,28 @@
 	Claim(ctx context.Context, team ident.TeamID, key ident.Key, gate ident.Incarnation) (Claim, error)
 	// Known returns the gate of a claim that has been read from the log.
 	Known(team ident.TeamID, key ident.Key) (ident.Incarnation, bool)
+	// CatchUp reads the team's ledger to its present end.
+	CatchUp(ctx context.Context, team ident.TeamID) error
 }
 
 // Gates asks gates about keys.
 type Gates interface {
 	Lookup(ctx context.Context, target filter.Target, key ident.Key) (wire.LookupReply, error)
 	// Void makes a gate withdraw its claim of a key that it has not started
-	// and now never will, and reports whether that is known here.
-	Void(ctx context.Context, target filter.Target, team ident.TeamID, key ident.Key) bool
+	// and now never will.
+	Void(ctx context.Context, target filter.Target, team ident.TeamID, key ident.Key) Withdrawal
 }
 
+// Withdrawal tells what became of the request to withdraw a claim.
+type Withdrawal uint8
+
+// Outcomes of Gates.Void.
+const (
+	Undecided Withdrawal = iota // the gate has not said that the key is unstarted
+	Unstarted                   // the key has not run there and never will; the claim may stand
+	Withdrawn                   // and the claim is gone, which has been read here
+)
+
 // Members finds the gate that an earlier claim names.
 type Members interface {
 	// Gate returns false if that life is over or sealed.
--- a/internal/router/claims.go
+++ b/internal/router/claims.go
@@ -15,6 +15,7 @@
 type submitter interface {
 	Submit(ctx context.Context, team ident.TeamID, records ...record.Record) ([]ledger.Verdict, error)
 	View(team ident.TeamID, visit func(*ledger.State))
+	CatchUp(ctx context.Context, team ident.TeamID) error
 }
 
 // claims writes claims to the ledger.
@@ -54,3 +55,8 @@
 	})
 	return gate, known
 }
+
+// CatchUp implements once.Claims.
+func (c *claims) CatchUp(ctx context.Context, team ident.TeamID) error {
+	return c.ledger.CatchUp(ctx, team)
+}
--- a/internal/router/gates.go
+++ b/internal/router/gates.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/camphorlever/camphorlever/internal/filter"
+	"github.com/camphorlever/camphorlever/internal/filter/once"
 	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/placement"
 	"github.com/camphorlever/camphorlever/internal/relay"
@@ -81,16 +82,20 @@
 
 // Void implements once.Gates. The withdrawal is read here too before it counts,
 // so that the old claim is not followed again.
-func (g *gates) Void(ctx context.Context, t filter.Target, team ident.TeamID, key ident.Key) bool {
+func (g *gates) Void(ctx context.Context, t filter.Target, team ident.TeamID, key ident.Key) once.Withdrawal {
 	args := wire.SealKeyArgs{Offsets: g.offsets(), Gate: t.Gate, Key: key, Void: team}
 	var reply wire.SealKeyReply
 	err := g.call(ctx, t, voidTimeout, wire.MethodSideSealKey, &args, &reply)
-	if err != nil || !reply.Voided || reply.Gate != t.Gate {
-		return false
+	unstarted := reply.Was == wire.KeyUnknown || reply.Was == wire.KeySealed
+	if err != nil || reply.Gate != t.Gate || !unstarted {
+		return once.Undecided
 	}
 	ctx, cancel := context.WithTimeout(ctx, voidTimeout)
 	defer cancel()
-	return g.catchUp(ctx, team) == nil
+	if !reply.Voided || g.catchUp(ctx, team) != nil {
+		return once.Unstarted
+	}
+	return once.Withdrawn
 }
 
 // Cancel implements stream.Gates.
