A repetition that is refused early is not called not_run if its first attempt may have run

Cause, found by reading every place that says not_run: budget, queue and placement refuse before a gate is asked. That is true of the repetition, but the key may have run: an order whose claim has been read, a home gate that does not answer, a home that knows a failed attempt. Ruled out: asking all gates before each refusal; a first request would pay for it. Now the key filter turns such a refusal into unknown, unless the claim filter has judged the key by its gate. Seen failing: TestARefusedRepetition with silent homes, failed attempts, read claims and the judgement each left out; TestClaimComesBeforeTheGate without the judgement. Left open: a first attempt at a home that is gone since, or under a claim that is not read yet.

--- a/internal/filter/key/handler.go
+++ b/internal/filter/key/handler.go
@@ -8,12 +8,14 @@
 	"github.com/camphorlever/camphorlever/internal/counter"
 	"github.com/camphorlever/camphorlever/internal/filter"
 	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/refusal"
 	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
 type handler struct {
 	homes    Homes
 	gates    Gates
+	claims   Claims
 	attach   filter.Next
 	counters *counter.Set
 }
@@ -29,16 +31,32 @@
 	}
 	r.Key = ident.HashKey(r.Caller.Team, r.CallerKey)
 	if r.Once {
-		return next(ctx, r)
+		out := next(ctx, r)
+		_, claimed := h.claims.Known(r.Caller.Team, r.Key)
+		return h.doubt(out, claimed && !r.Judged)
 	}
 	r.Homes = h.homes.Homes(r)
-	for _, target := range h.find(ctx, r) {
+	found, silent := h.find(ctx, r)
+	for _, target := range found {
 		out := h.read(ctx, r, target)
 		if out.Retry == "" {
 			return out
 		}
 	}
-	return next(ctx, r)
+	return h.doubt(next(ctx, r), silent || len(found) > 0)
+}
+
+// doubt keeps a refusal from saying not_run of a key that an earlier request
+// may have run.
+func (h *handler) doubt(out filter.Outcome, mayHaveRun bool) filter.Outcome {
+	if !mayHaveRun || out.Refusal == nil || out.Refusal.Ran != refusal.NotRun {
+		return out
+	}
+	h.counters.Inc("doubted")
+	doubted := *out.Refusal
+	doubted.Ran = refusal.Unknown
+	out.Refusal = &doubted
+	return out
 }
 
 // read serves the answer that a home knows. A retry reason in the outcome
@@ -58,32 +76,34 @@
 	return out
 }
 
-// find asks all homes at once and returns those that know the key.
-func (h *handler) find(ctx context.Context, r *filter.Request) []filter.Target {
+// find asks all homes at once. It returns those that know the key, and whether
+// any did not answer.
+func (h *handler) find(ctx context.Context, r *filter.Request) (found []filter.Target, silent bool) {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
 	known := make([]bool, len(r.Homes))
+	answered := make([]bool, len(r.Homes))
 	var wg conc.WaitGroup
 	for i, home := range r.Homes {
-		wg.Go(func() { known[i] = h.ask(ctx, home, r.Key) })
+		wg.Go(func() { known[i], answered[i] = h.ask(ctx, home, r.Key) })
 	}
 	wg.Wait()
-	var found []filter.Target
 	for i, home := range r.Homes {
 		if known[i] {
 			found = append(found, home)
 		}
+		silent = silent || !answered[i]
 	}
-	return found
+	return found, silent
 }
 
-func (h *handler) ask(ctx context.Context, home filter.Target, key ident.Key) bool {
+func (h *handler) ask(ctx context.Context, home filter.Target, key ident.Key) (known, answered bool) {
 	reply, err := h.gates.Lookup(ctx, home, key)
 	if err != nil {
 		// The request is repeatable: it may run again elsewhere, and the
 		// ledger bills the key once.
 		h.counters.Inc("no_reply")
-		return false
+		return false, false
 	}
-	return reply.State == wire.KeyRunning || reply.State == wire.KeyDone
+	return reply.State == wire.KeyRunning || reply.State == wire.KeyDone, true
 }
--- a/internal/filter/key/key_test.go
+++ b/internal/filter/key/key_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/camphorlever/camphorlever/internal/filter"
 	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/refusal"
 	"github.com/camphorlever/camphorlever/internal/settings"
 	"github.com/camphorlever/camphorlever/internal/wire"
 )
@@ -65,7 +66,7 @@
 				}
 				return filter.Answered()
 			}
-			New(c.gates, c.gates, attach).Handle(t.Context(), r, func(context.Context, *filter.Request) filter.Outcome {
+			New(c.gates, c.gates, claimed(false), attach).Handle(t.Context(), r, func(context.Context, *filter.Request) filter.Outcome {
 				next = true
 				return filter.Answered()
 			})
@@ -77,3 +78,39 @@
 		})
 	}
 }
+
+// claimed tells whether a claim of the key was read.
+type claimed bool
+
+func (c claimed) Known(ident.TeamID, ident.Key) (ident.Incarnation, bool) {
+	return 1, bool(c)
+}
+
+func TestARefusedRepetitionIsNotCalledNotRun(t *testing.T) {
+	unknown := gates{1: wire.KeyUnknown, 2: wire.KeyUnknown}
+	for name, c := range map[string]struct {
+		gates   gates
+		once    bool
+		claimed claimed
+		judged  bool
+		ran     refusal.Ran
+	}{
+		"new":                      {gates: unknown, ran: refusal.NotRun},
+		"a home is cut off":        {gates: gates{1: wire.KeyUnknown}, ran: refusal.Unknown},
+		"an attempt has failed":    {gates: gates{1: wire.KeyDone, 2: wire.KeyUnknown}, ran: refusal.Unknown},
+		"once, new":                {gates: unknown, once: true, ran: refusal.NotRun},
+		"once, claimed":            {gates: unknown, once: true, claimed: true, ran: refusal.Unknown},
+		"once, judged by its gate": {gates: unknown, once: true, claimed: true, judged: true, ran: refusal.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &filter.Request{CallerKey: "q1", Once: c.once}
+			unread := func(context.Context, *filter.Request) filter.Outcome { return filter.Outcome{Retry: "failed"} }
+			out := New(c.gates, c.gates, c.claimed, unread).Handle(t.Context(), r, func(_ context.Context, r *filter.Request) filter.Outcome {
+				r.Judged = c.judged
+				return filter.Refused(refusal.BudgetExhausted, refusal.NotRun, "spent")
+			})
+			require.Equal(t, c.ran, out.Refusal.Ran)
+			require.Equal(t, refusal.BudgetExhausted, out.Refusal.Code)
+		})
+	}
+}
--- a/internal/filter/key/setup.go
+++ b/internal/filter/key/setup.go
@@ -26,8 +26,13 @@
 	Lookup(ctx context.Context, target filter.Target, key ident.Key) (wire.LookupReply, error)
 }
 
+// Claims knows the claims that have been read from the log.
+type Claims interface {
+	Known(team ident.TeamID, key ident.Key) (ident.Incarnation, bool)
+}
+
 // New returns the filter. Attach serves an answer that already exists at the
 // request's target.
-func New(homes Homes, gates Gates, attach filter.Next) filter.Filter {
-	return &handler{homes: homes, gates: gates, attach: attach, counters: filter.Counters("key")}
+func New(homes Homes, gates Gates, claims Claims, attach filter.Next) filter.Filter {
+	return &handler{homes: homes, gates: gates, claims: claims, attach: attach, counters: filter.Counters("key")}
 }
--- a/internal/filter/once/handler.go
+++ b/internal/filter/once/handler.go
@@ -25,6 +25,7 @@
 	if !r.Once {
 		return next(ctx, r)
 	}
+	r.Judged = true
 	// Only the gate that a claim names may run the key, so one that was read
 	// needs no log.
 	if gate, known := h.claims.Known(r.Caller.Team, r.Key); known {
--- a/internal/filter/once/once_test.go
+++ b/internal/filter/once/once_test.go
@@ -95,6 +95,7 @@
 				return filter.Outcome{Retry: "anything"}
 			})
 			require.Equal(t, c.begun, begun)
+			require.Equal(t, c.once, r.Judged)
 			require.Equal(t, c.claim, f.asked)
 			require.Equal(t, c.once, out.Retry == "", "a claimed request is not tried elsewhere")
 			if c.code != "" {
--- a/internal/filter/request.go
+++ b/internal/filter/request.go
@@ -74,6 +74,9 @@
 
 	// Contested means that an earlier attempt may have run somewhere.
 	Contested bool
+	// Judged means that the claim filter answers for earlier requests with
+	// the key.
+	Judged bool
 }
 
 // Target is one life of a side process.
--- a/internal/router/chain.go
+++ b/internal/router/chain.go
@@ -75,7 +75,7 @@
 			deadline.New(),
 			parse.New(),
 			limits.New(),
-			key.New(placed, p.gates, filter.Chain(streams)),
+			key.New(placed, p.gates, p.claims, filter.Chain(streams)),
 			admission,
 			waiting,
 			retryfilter.New(retry.NewBudget(nil)),
