One in-memory listener for tests in place of four

Three tests had written the listener of package pipetest again; they use it now, and it stands beside the packages that share it. The relay's own stays: it names its connections. Assertions are unchanged; the tests pass with the race detector.

--- a/internal/engine/fake_test.go
+++ b/internal/engine/fake_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/camphorlever/camphorlever/internal/engine/pipetest"
 	"github.com/camphorlever/camphorlever/internal/gate"
 	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/pipetest"
 	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
--- a/internal/filter/parse/parse_test.go
+++ b/internal/filter/parse/parse_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -14,27 +13,11 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/camphorlever/camphorlever/internal/filter"
+	"github.com/camphorlever/camphorlever/internal/pipetest"
 	"github.com/camphorlever/camphorlever/internal/refusal"
 	"github.com/camphorlever/camphorlever/internal/settings"
 )
 
-// listener has one connection in memory.
-type listener struct {
-	conn chan net.Conn
-	done chan struct{}
-}
-
-func (l *listener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conn:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-func (l *listener) Close() error   { close(l.done); return nil }
-func (l *listener) Addr() net.Addr { return &net.UnixAddr{Name: "router"} }
-
 // TestBodyTimeoutBoundsTheBodyOnly sends a body that stops, and one that is
 // whole and is answered long after the time that a body may take.
 func TestBodyTimeoutBoundsTheBodyOnly(t *testing.T) {
@@ -54,17 +37,17 @@
 					}
 				})
 			}
-			near, far := net.Pipe()
-			l := &listener{conn: make(chan net.Conn, 1), done: make(chan struct{})}
-			l.conn <- far
+			l := pipetest.New()
 			server := &http.Server{Handler: http.HandlerFunc(handle)}
 			served := make(chan struct{})
 			go func() { _ = server.Serve(l); close(served) }()
+			near, err := l.Dial(t.Context(), "", "")
+			require.NoError(t, err)
 			sent := body
 			if !whole {
 				sent = body[:20]
 			}
-			_, err := io.WriteString(near, fmt.Sprintf("POST / HTTP/1.1\r\nHost: r\r\nContent-Length: %d\r\n\r\n%s", len(body), sent))
+			_, err = io.WriteString(near, fmt.Sprintf("POST / HTTP/1.1\r\nHost: r\r\nContent-Length: %d\r\n\r\n%s", len(body), sent))
 			require.NoError(t, err)
 			go func() { _, _ = io.Copy(io.Discard, bufio.NewReader(near)) }()
 			start := time.Now()
--- a/internal/filter/stream/slow_test.go
+++ b/internal/filter/stream/slow_test.go
@@ -14,32 +14,15 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/camphorlever/camphorlever/internal/filter"
+	"github.com/camphorlever/camphorlever/internal/pipetest"
 	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
-// pipes is a listener whose connections hold nothing: every write waits for
-// its reader, on the bubble's clock.
-type pipes struct {
-	conns chan net.Conn
-	done  chan struct{}
-}
-
-func (p *pipes) Accept() (net.Conn, error) {
-	select {
-	case c := <-p.conns:
-		return c, nil
-	case <-p.done:
-		return nil, net.ErrClosed
-	}
-}
-func (p *pipes) Close() error   { close(p.done); return nil }
-func (p *pipes) Addr() net.Addr { return &net.UnixAddr{Name: "router"} }
-
 // call sends a request and returns the connection to read the answer from.
-func (p *pipes) call(t *testing.T) net.Conn {
-	near, far := net.Pipe()
-	p.conns <- far
-	_, err := io.WriteString(near, "GET / HTTP/1.1\r\nHost: router\r\n\r\n")
+func call(t *testing.T, l *pipetest.Listener) net.Conn {
+	near, err := l.Dial(t.Context(), "", "")
+	require.NoError(t, err)
+	_, err = io.WriteString(near, "GET / HTTP/1.1\r\nHost: router\r\n\r\n")
 	require.NoError(t, err)
 	return near
 }
@@ -62,17 +45,17 @@
 			New(Deps{Relay: fakes, Gates: fakes, Witness: fakes, Self: fakes}).Handle(context.Background(), r, nil)
 			ended <- fakes
 		}
-		p := &pipes{conns: make(chan net.Conn), done: make(chan struct{})}
+		p := pipetest.New()
 		server := &http.Server{Handler: http.HandlerFunc(handler)}
 		served := make(chan struct{})
 		go func() { _ = server.Serve(p); close(served) }()
 
 		start := time.Now()
-		slow := p.call(t)
+		slow := call(t, p)
 		_, err := bufio.NewReaderSize(slow, 64).ReadString('\n') // and no more
 		require.NoError(t, err)
 
-		quick := p.call(t)
+		quick := call(t, p)
 		response, err := http.ReadResponse(bufio.NewReader(quick), nil)
 		require.NoError(t, err)
 		raw, err := io.ReadAll(response.Body)
--- a/internal/router/slowheader_test.go
+++ b/internal/router/slowheader_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -12,25 +11,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/camphorlever/camphorlever/internal/counter"
+	"github.com/camphorlever/camphorlever/internal/pipetest"
 )
 
-// one is a listener with one connection in memory.
-type one struct {
-	conn chan net.Conn
-	done chan struct{}
-}
-
-func (o *one) Accept() (net.Conn, error) {
-	select {
-	case c := <-o.conn:
-		return c, nil
-	case <-o.done:
-		return nil, net.ErrClosed
-	}
-}
-func (o *one) Close() error   { close(o.done); return nil }
-func (o *one) Addr() net.Addr { return &net.UnixAddr{Name: "router"} }
-
 func TestSlowHeaderIsRefused(t *testing.T) {
 	const whole = "GET / HTTP/1.1\r\nHost: r\r\n\r\n"
 	cases := map[string]struct {
@@ -44,9 +27,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				near, far := net.Pipe()
-				l := &one{conn: make(chan net.Conn, 1), done: make(chan struct{})}
-				l.conn <- far
+				l := pipetest.New()
 				server := &http.Server{
 					Handler:           markServing(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })),
 					ReadHeaderTimeout: readHeaderTimeout,
@@ -58,6 +39,8 @@
 					_ = server.Serve(headerListener{Listener: l, refusals: counter.NewSet("callers_test")})
 					close(served)
 				}()
+				near, err := l.Dial(t.Context(), "", "")
+				require.NoError(t, err)
 				answers := bufio.NewReader(near)
 				for i, text := range c.sent {
 					_, err := io.WriteString(near, text)
--- a/internal/side/monitor_test.go
+++ b/internal/side/monitor_test.go
@@ -12,9 +12,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/camphorlever/camphorlever/internal/engine"
-	"github.com/camphorlever/camphorlever/internal/engine/pipetest"
 	"github.com/camphorlever/camphorlever/internal/gate"
 	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/pipetest"
 	standin "github.com/camphorlever/camphorlever/internal/standin/engine"
 	"github.com/camphorlever/camphorlever/internal/wire"
 )
--- a/internal/side/orders_test.go
+++ b/internal/side/orders_test.go
@@ -15,8 +15,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/camphorlever/camphorlever/internal/engine"
-	"github.com/camphorlever/camphorlever/internal/engine/pipetest"
 	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/pipetest"
 	"github.com/camphorlever/camphorlever/internal/settings"
 	standin "github.com/camphorlever/camphorlever/internal/standin/engine"
 )
--- a/internal/side/world_test.go
+++ b/internal/side/world_test.go
@@ -17,12 +17,12 @@
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/camphorlever/camphorlever/internal/engine/pipetest"
 	"github.com/camphorlever/camphorlever/internal/fleet"
 	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/ledger"
 	"github.com/camphorlever/camphorlever/internal/memlog"
 	"github.com/camphorlever/camphorlever/internal/node"
+	"github.com/camphorlever/camphorlever/internal/pipetest"
 	"github.com/camphorlever/camphorlever/internal/record"
 	"github.com/camphorlever/camphorlever/internal/rpc"
 	"github.com/camphorlever/camphorlever/internal/settings"
