--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,258 @@
+// Package entry is the router process on the users' platform: it passes
+// callers' requests on to backend servers as they came, within prepaid budgets.
+// The router itself begins the runs; there is no process beside the servers.
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/camphorlever/camphorlever/internal/affinity"
+	"github.com/camphorlever/camphorlever/internal/catalog"
+	"github.com/camphorlever/camphorlever/internal/filter"
+	"github.com/camphorlever/camphorlever/internal/filter/forward"
+	"github.com/camphorlever/camphorlever/internal/filter/recovery"
+	"github.com/camphorlever/camphorlever/internal/filter/route"
+	"github.com/camphorlever/camphorlever/internal/filter/spend"
+	"github.com/camphorlever/camphorlever/internal/logservice"
+	"github.com/camphorlever/camphorlever/internal/membership"
+	"github.com/camphorlever/camphorlever/internal/prepaid"
+	"github.com/camphorlever/camphorlever/internal/retry"
+	"github.com/camphorlever/camphorlever/internal/upstream"
+	"github.com/camphorlever/camphorlever/internal/watch"
+)
+
+// Times and limits of the process.
+const (
+	// settingsGap and serversGap are the least times between two reads of a
+	// stream: small against the seconds in which a change must be in force,
+	// and enough to take in many entries at once.
+	settingsGap = 100 * time.Millisecond
+	serversGap  = 300 * time.Millisecond
+	// settleEvery is how often lapsed servers and idle connections are looked
+	// at.
+	settleEvery = 200 * time.Millisecond
+	// headerTimeout and idleTimeout bound what a caller may take. They are
+	// above what deployments allow their callers, since the settings are not
+	// known yet when the first connection comes.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+	// writeTimeout bounds one write to a caller that does not read.
+	writeTimeout = 5 * time.Second
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 64 << 10
+	// routers is how many routers share the retry budget at most, as long as
+	// they do not know of each other: the entry VMs of a small deployment and
+	// as many spare ones.
+	routers = 8
+	// retryMargin is left of the shared retry budget, since windows are
+	// counted in steps.
+	retryMargin = 0.8
+)
+
+// Log is the platform's log.
+type Log interface {
+	watch.Log
+	prepaid.Log
+}
+
+// Codec translates headers at the boundary.
+type Codec interface {
+	route.Codec
+	forward.Codec
+	upstream.Reader
+	Refuse(h http.Header, attempt string, retryAfter time.Duration)
+}
+
+// Options is what a router needs to know of its place.
+type Options struct {
+	Node           string
+	DataCentre     string
+	CallersAddress string
+	ReadyAddress   string
+	PathReady      string
+	MetricsAddress string        // empty: no metrics are served
+	Grace          time.Duration // from the signal to stop until the process is killed
+	Retries        retry.Limits  // over all routers, for each service
+
+	StreamSettings logservice.Stream
+	StreamServers  logservice.Stream
+	StreamBudgets  logservice.Stream
+	Decoder        Decoder
+}
+
+// Router is a router process.
+type Router struct {
+	options   Options
+	codec     Codec
+	log       zerolog.Logger
+	settings  *published
+	table     *membership.Table
+	serverLog *watch.Watcher
+	hands     *prepaid.Hands
+	placer    *affinity.Placer
+	pool      *upstream.Pool
+	chain     filter.Next
+	outcomes  *outcomes
+
+	active   atomic.Int64 // requests in progress
+	stopping atomic.Bool
+
+	callers *http.Server
+	ready   *http.Server
+	metrics *http.Server
+	failed  chan error
+	work    conc.WaitGroup
+	budget  conc.WaitGroup
+	cancel  context.CancelFunc
+	halt    context.CancelFunc // ends the draws
+}
+
+// New returns a router that does nothing until Start.
+func New(o Options, log Log, codec Codec, logger zerolog.Logger) *Router {
+	r := &Router{
+		options:  o,
+		codec:    codec,
+		log:      logger.With().Str("part", "entry").Logger(),
+		table:    membership.New(logger),
+		placer:   affinity.New(o.DataCentre),
+		pool:     upstream.NewPool(codec),
+		outcomes: newOutcomes(),
+		failed:   make(chan error, 3),
+	}
+	r.settings = &published{decoder: o.Decoder, log: r.log, changed: func(*catalog.Settings) {}}
+	r.settings.watcher = watch.New(log, o.StreamSettings, r.settings, settingsGap, logger)
+	r.serverLog = watch.New(log, o.StreamServers, &servers{decoder: o.Decoder, table: r.table}, serversGap, logger)
+	life := o.Node + "/" + uuid.NewString()
+	r.hands = prepaid.NewHands(prepaid.NewLedger(log, o.StreamBudgets, life, logger), r.settings.Current, logger)
+	r.chain = filter.Chain(
+		recovery.New(r.log),
+		route.New(&freshSettings{r.settings}, codec),
+		spend.New(r.hands),
+		forward.New(forward.Deps{
+			Codec:   codec,
+			Servers: r.table,
+			Placer:  r.placer,
+			Pool:    r.pool,
+			Retries: ownShare(o.Retries),
+			Log:     logger,
+		}),
+	)
+	return r
+}
+
+// ownShare is this router's part of the retry budget of all. Requests are
+// counted by the router that got them, so the ratio needs no splitting.
+func ownShare(all retry.Limits) retry.Limits {
+	all.Share *= retryMargin
+	all.Floor = int64(retryMargin * float64(all.Floor) / routers)
+	return all
+}
+
+// freshSettings adds the watcher's wait to the settings.
+type freshSettings struct{ *published }
+
+// Fresh implements route.Settings.
+func (s *freshSettings) Fresh(ctx context.Context) error { return s.watcher.Fresh(ctx) }
+
+// Start opens the listeners and follows the log. Until everything was read,
+// callers are refused.
+func (r *Router) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	drawing, halt := context.WithCancel(context.Background())
+	r.halt = halt
+	r.callers = r.server(http.HandlerFunc(r.serve))
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+r.options.PathReady, r.answerReady)
+	r.ready = r.server(ready)
+	if err := r.listen(r.callers, r.options.CallersAddress); err != nil {
+		return err
+	}
+	if err := r.listen(r.ready, r.options.ReadyAddress); err != nil {
+		return err
+	}
+	if r.options.MetricsAddress != "" {
+		r.metrics = r.server(r.outcomes.handler())
+		if err := r.listen(r.metrics, r.options.MetricsAddress); err != nil {
+			return err
+		}
+	}
+	r.work.Go(func() { r.settings.watcher.Run(ctx) })
+	r.work.Go(func() { r.serverLog.Run(ctx) })
+	r.work.Go(func() { r.settle(ctx) })
+	r.budget.Go(func() { r.hands.Run(drawing) })
+	r.log.Info().Str("node", r.options.Node).Str("data_centre", r.options.DataCentre).Msg("router started")
+	return nil
+}
+
+func (r *Router) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          quietLog(r.log),
+	}
+}
+
+func (r *Router) listen(server *http.Server, address string) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", address)
+	}
+	r.work.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			r.failed <- errors.Wrapf(err, "serve on %s", address)
+		}
+	})
+	return nil
+}
+
+// Failed tells of a listener that broke.
+func (r *Router) Failed() <-chan error { return r.failed }
+
+// settle removes what is not needed any more, now and then.
+func (r *Router) settle(ctx context.Context) {
+	ticker := time.NewTicker(settleEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.table.Settle()
+			r.pool.Keep(r.table.Usable)
+		}
+	}
+}
+
+// loaded reports whether everything that requests need was read.
+func (r *Router) loaded() bool {
+	if r.settings.Current() == nil || r.serverLog.Contact().IsZero() {
+		return false
+	}
+	select {
+	case <-r.hands.Loaded():
+		return true
+	default:
+		return false
+	}
+}
+
+// answerReady tells the platform whether callers may be sent here.
+func (r *Router) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if r.stopping.Load() || !r.loaded() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/entry/serve.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"io"
+	stdlog "log"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/camphorlever/camphorlever/internal/filter"
+	"github.com/camphorlever/camphorlever/internal/refusal"
+)
+
+// notReadyPause is when a caller comes back that met a router which has not
+// read everything yet.
+const notReadyPause = 500 * time.Millisecond
+
+// serve handles one request of a caller.
+func (r *Router) serve(w http.ResponseWriter, in *http.Request) {
+	r.active.Add(1)
+	defer r.active.Add(-1)
+	request := &filter.Request{
+		HTTP:     in,
+		Writer:   filter.NewWriter(w, writeTimeout),
+		Received: time.Now(),
+	}
+	if r.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	out := r.outcome(request)
+	r.finish(w, request, out)
+}
+
+func (r *Router) outcome(request *filter.Request) filter.Outcome {
+	if !r.loaded() {
+		request.Passage = &filter.Passage{Call: r.codec.Call(request.HTTP.Header)}
+		out := filter.Refused(refusal.NotReady, refusal.NotRun, "The router has not read everything yet.")
+		out.Refusal.RetryAfter = notReadyPause
+		return out
+	}
+	return r.chain(request.HTTP.Context(), request)
+}
+
+// finish answers a request that was refused. An answer that began and cannot be
+// completed is cut, so that it does not look complete.
+func (r *Router) finish(w http.ResponseWriter, request *filter.Request, out filter.Outcome) {
+	r.outcomes.record(request, out)
+	r.logEnd(request, out)
+	if out.Refusal == nil {
+		return
+	}
+	if request.Writer.Started() {
+		panic(http.ErrAbortHandler)
+	}
+	if request.HTTP.Context().Err() != nil {
+		return // the caller is gone
+	}
+	r.codec.Refuse(w.Header(), request.Passage.Call.Attempt, out.Refusal.RetryAfter)
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status(out.Refusal))
+	_, _ = io.WriteString(w, out.Refusal.Error()+"\n") // the caller may be gone; there is nobody else to tell
+}
+
+// status returns the status of a refusal. Those that promise that a request did
+// not run are only used where that is known.
+func status(r *refusal.Refusal) int {
+	if r.Code == refusal.DeadlineExceeded && r.Ran == refusal.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	if s := refusal.Status(r.Code); r.Ran == refusal.NotRun || (s != http.StatusTooManyRequests && s != http.StatusServiceUnavailable) {
+		return s
+	}
+	return http.StatusBadGateway
+}
+
+// logEnd writes one line for each request: complete for those that went wrong
+// or came late.
+func (r *Router) logEnd(request *filter.Request, out filter.Outcome) {
+	p := request.Passage
+	took := time.Since(request.Received)
+	event := r.log.Debug()
+	late := p.Route != nil && p.Route.Objective > 0 && firstAnswer(p, took) > p.Route.Objective
+	if out.Refusal != nil || late {
+		event = r.log.Info()
+	}
+	if !event.Enabled() {
+		return
+	}
+	event = event.Str("request", p.Call.Attempt).Str("outcome", "answered")
+	if out.Refusal != nil {
+		event = event.Str("outcome", string(out.Refusal.Code)).Str("ran", string(out.Refusal.Ran)).
+			Str("why", out.Refusal.Message).Dur("retry_after", out.Refusal.RetryAfter)
+	}
+	if p.Route != nil {
+		event = event.Str("route", p.Route.Name).Str("service", p.Service.Name)
+	}
+	if p.Account != nil {
+		event = event.Str("account", p.Account.Name).Int64("bound", p.Call.Tokens())
+	}
+	if p.Settings != nil {
+		event = event.Int64("settings", p.Settings.Version).Dur("settings_age", time.Since(r.settings.Contact()))
+	}
+	event.Str("server", p.Server.ID).Int("sends", p.Sends).Int64("events", p.Delivered).
+		Dur("first_event", p.FirstEvent).Dur("took", took).Msg("request ended")
+}
+
+// firstAnswer is the time that an objective is measured by.
+func firstAnswer(p *filter.Passage, took time.Duration) time.Duration {
+	if p.FirstEvent > 0 {
+		return p.FirstEvent
+	}
+	return took
+}
+
+// quietLog takes in what the HTTP library logs.
+func quietLog(log zerolog.Logger) *stdlog.Logger {
+	return stdlog.New(httpLog{log}, "", 0)
+}
+
+type httpLog struct{ log zerolog.Logger }
+
+// Write implements io.Writer.
+func (l httpLog) Write(line []byte) (int, error) {
+	l.log.Debug().Str("text", string(line)).Msg("connection of a caller")
+	return len(line), nil
+}
--- /dev/null
+++ b/internal/entry/sinks.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/camphorlever/camphorlever/internal/catalog"
+	"github.com/camphorlever/camphorlever/internal/logservice"
+	"github.com/camphorlever/camphorlever/internal/membership"
+	"github.com/camphorlever/camphorlever/internal/watch"
+)
+
+// Decoder reads what the platform's log holds.
+type Decoder struct {
+	Settings    func(raw []byte) (*catalog.Settings, error)
+	Server      func(id string, raw []byte) (membership.Server, error)
+	KeySettings string
+}
+
+// published holds the newest settings.
+type published struct {
+	decoder Decoder
+	log     zerolog.Logger
+	current atomic.Pointer[catalog.Settings]
+	watcher *watch.Watcher
+	changed func(*catalog.Settings)
+}
+
+// Current implements route.Settings.
+func (p *published) Current() *catalog.Settings { return p.current.Load() }
+
+// Contact implements route.Settings.
+func (p *published) Contact() time.Time { return p.watcher.Contact() }
+
+// Reset implements watch.Sink.
+func (p *published) Reset(entries []logservice.KeyedEntry) { p.Apply(entries) }
+
+// Reachable implements watch.Sink.
+func (p *published) Reachable(bool) {}
+
+// Apply implements watch.Sink. Settings that cannot be read change nothing, and
+// a version never follows a newer one.
+func (p *published) Apply(entries []logservice.KeyedEntry) {
+	for _, e := range entries {
+		if e.Key != p.decoder.KeySettings || e.Value == nil {
+			continue
+		}
+		s, err := p.decoder.Settings(e.Value)
+		if err != nil {
+			p.log.Warn().Err(err).Int64("offset", int64(e.Offset)).Msg("settings cannot be read")
+			continue
+		}
+		before := p.current.Load()
+		if before != nil && s.Version <= before.Version {
+			continue
+		}
+		p.current.Store(s)
+		p.log.Info().Int64("settings", s.Version).Int64("offset", int64(e.Offset)).Msg("settings in force")
+		p.changed(s)
+	}
+}
+
+// servers feeds the table of backend servers.
+type servers struct {
+	decoder Decoder
+	table   *membership.Table
+}
+
+// Reset implements watch.Sink.
+func (s *servers) Reset(entries []logservice.KeyedEntry) {
+	present := map[string]bool{}
+	for _, e := range entries {
+		present[e.Key] = true
+	}
+	s.Apply(entries)
+	s.table.Replace(present)
+}
+
+// Apply implements watch.Sink.
+func (s *servers) Apply(entries []logservice.KeyedEntry) {
+	for _, e := range entries {
+		if e.Key == "" {
+			continue // not a keyed entry; it names no server
+		}
+		if e.Value == nil {
+			s.table.Drop(e.Key)
+			continue
+		}
+		server, err := s.decoder.Server(e.Key, e.Value)
+		if err != nil {
+			s.table.Spoil(e.Key, err)
+			continue
+		}
+		s.table.Put(server)
+	}
+}
+
+// Reachable implements watch.Sink.
+func (s *servers) Reachable(ok bool) { s.table.Reachable(ok) }
--- /dev/null
+++ b/internal/eventstream/eventstream.go
@@ -0,0 +1,131 @@
+// Package eventstream takes a stream of events (text/event-stream) apart at the
+// ends of its events, without looking at what they carry.
+package eventstream
+
+import (
+	"bytes"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// Sizes of the buffer of a Scanner, in bytes.
+const (
+	firstBuffer = 2 << 10
+	// MaxEvent bounds one event.
+	MaxEvent = 1 << 20
+)
+
+// ErrTooLong means that an event exceeds MaxEvent.
+var ErrTooLong = errors.New("event is too long")
+
+// ErrPartial means that the stream ended within an event.
+var ErrPartial = errors.New("stream ended within an event")
+
+// Scanner reads whole events.
+type Scanner struct {
+	from   io.Reader
+	buffer []byte
+	start  int // of what was not returned yet
+	end    int // of what was read
+	err    error
+}
+
+// NewScanner returns a scanner for a stream.
+func NewScanner(from io.Reader) *Scanner {
+	return &Scanner{from: from, buffer: make([]byte, firstBuffer)}
+}
+
+// Next returns all whole events that are at hand, at least one: it reads only
+// if there is none. The bytes are valid until the next call. It fails with
+// io.EOF when the stream ended after a whole event, and with ErrPartial when it
+// ended within one.
+func (s *Scanner) Next() ([]byte, error) {
+	for {
+		if n := lastEnd(s.buffer[s.start:s.end]); n > 0 {
+			events := s.buffer[s.start : s.start+n]
+			s.start += n
+			return events, nil
+		}
+		if s.err != nil {
+			return nil, s.failure()
+		}
+		if err := s.room(); err != nil {
+			return nil, err
+		}
+		n, err := s.from.Read(s.buffer[s.end:])
+		s.end += n
+		s.err = err
+	}
+}
+
+func (s *Scanner) failure() error {
+	if errors.Is(s.err, io.EOF) && s.start < s.end {
+		return ErrPartial
+	}
+	return s.err
+}
+
+// room makes space to read into.
+func (s *Scanner) room() error {
+	if s.start > 0 {
+		copy(s.buffer, s.buffer[s.start:s.end])
+		s.end -= s.start
+		s.start = 0
+	}
+	if s.end < len(s.buffer) {
+		return nil
+	}
+	if len(s.buffer) >= MaxEvent {
+		return ErrTooLong
+	}
+	grown := make([]byte, 2*len(s.buffer))
+	copy(grown, s.buffer[:s.end])
+	s.buffer = grown
+	return nil
+}
+
+// lastEnd returns where the last whole event of b ends, zero if there is none.
+func lastEnd(b []byte) int {
+	end := 0
+	for _, blank := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
+		if i := bytes.LastIndex(b, blank); i >= 0 {
+			end = max(end, i+len(blank))
+		}
+	}
+	return end
+}
+
+// Split calls visit for each of the whole events in b, until it returns false.
+func Split(b []byte, visit func(event []byte) bool) {
+	for len(b) > 0 {
+		n := firstEnd(b)
+		if n == 0 || !visit(b[:n]) {
+			return
+		}
+		b = b[n:]
+	}
+}
+
+func firstEnd(b []byte) int {
+	lf := bytes.Index(b, []byte("\n\n"))
+	crlf := bytes.Index(b, []byte("\r\n\r\n"))
+	switch {
+	case crlf >= 0 && (lf < 0 || crlf < lf):
+		return crlf + 4
+	case lf >= 0:
+		return lf + 2
+	default:
+		return 0
+	}
+}
+
+// ID returns the id of an event, empty if it has none.
+func ID(event []byte) string {
+	for line := range bytes.Lines(event) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(value))
+		}
+	}
+	return ""
+}
--- a/internal/filter/request.go
+++ b/internal/filter/request.go
@@ -72,6 +72,10 @@
 	Tried   []ident.Incarnation
 	Blocks  []uint64
 
+	// Passage is set on requests that are passed on as they came; the fields
+	// above from Caller on stay empty then.
+	Passage *Passage
+
 	// Contested means that an earlier attempt may have run somewhere.
 	Contested bool
 	// Judged means that the claim filter answers for earlier requests with
--- /dev/null
+++ b/internal/filter/route/setup.go
@@ -0,0 +1,42 @@
+// Package route is the filter that finds the route and the client account of a
+// request that is passed on as it came.
+package route
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/camphorlever/camphorlever/internal/catalog"
+	"github.com/camphorlever/camphorlever/internal/counter"
+	"github.com/camphorlever/camphorlever/internal/filter"
+)
+
+// defaultMaxBody bounds a body, in bytes, where the settings do not.
+const defaultMaxBody = 4 << 20
+
+// Settings is what the operators have published.
+type Settings interface {
+	// Current returns the newest settings, nil before any were read.
+	Current() *catalog.Settings
+	// Contact returns up to when all changes are known.
+	Contact() time.Time
+	// Fresh waits until all changes before now are known.
+	Fresh(ctx context.Context) error
+}
+
+// Codec reads headers.
+type Codec interface {
+	Call(h http.Header) filter.Call
+}
+
+type handler struct {
+	settings Settings
+	codec    Codec
+	counters *counter.Set
+}
+
+// New returns the filter.
+func New(settings Settings, codec Codec) filter.Filter {
+	return &handler{settings: settings, codec: codec, counters: filter.Counters("route")}
+}
--- /dev/null
+++ b/internal/filter/spend/setup.go
@@ -0,0 +1,65 @@
+// Package spend is the filter that sets prepaid tokens aside for a request and
+// settles what it used.
+package spend
+
+import (
+	"context"
+	"time"
+
+	"github.com/camphorlever/camphorlever/internal/filter"
+	"github.com/camphorlever/camphorlever/internal/prepaid"
+	"github.com/camphorlever/camphorlever/internal/refusal"
+)
+
+// comeBack is when a caller returns whose account's tokens are out of reach:
+// routers give back and draw every quarter of a second.
+const comeBack = 400 * time.Millisecond
+
+// Budget holds the prepaid tokens in this router's hands.
+type Budget interface {
+	Acquire(ctx context.Context, account string, tokens int64) (*prepaid.Hold, prepaid.Outcome)
+}
+
+type handler struct {
+	budget Budget
+}
+
+// New returns the filter.
+func New(budget Budget) filter.Filter {
+	return &handler{budget: budget}
+}
+
+// Handle lets a request through only if the most that it can consume is in
+// hand.
+func (h *handler) Handle(ctx context.Context, r *filter.Request, next filter.Next) filter.Outcome {
+	p := r.Passage
+	if p.Account == nil || !p.Account.Metered || p.Call.Tokens() <= 0 {
+		return next(ctx, r)
+	}
+	hold, outcome := h.budget.Acquire(ctx, p.Account.Name, p.Call.Tokens())
+	switch outcome {
+	case prepaid.Exhausted:
+		return filter.Refused(refusal.BudgetExhausted, refusal.NotRun, "The prepaid tokens do not cover this request.")
+	case prepaid.Unreachable:
+		out := filter.Refused(refusal.BudgetUnreachable, refusal.NotRun, "The account's tokens are not at hand now.")
+		out.Refusal.RetryAfter = comeBack
+		return out
+	}
+	p.Spending = hold
+	out := next(ctx, r)
+	hold.Settle(used(p))
+	return out
+}
+
+// used returns what a request consumed: its prompt once if any server may have
+// begun it, and what the caller was handed.
+func used(p *filter.Passage) int64 {
+	if !p.MayHaveRun {
+		return 0
+	}
+	stride := int64(1)
+	if e := p.Service.Engine; e != nil {
+		stride = e.TokensPerEvent
+	}
+	return p.Call.PromptTokens + min(p.Delivered*stride, p.Call.MaxOutput)
+}
--- a/internal/logservice/logservice.go
+++ b/internal/logservice/logservice.go
@@ -61,3 +61,15 @@
 	// was written.
 	ErrTooLarge = errors.New("log entry is too large")
 )
+
+// ErrMoved means that a conditional append found the stream at another end;
+// nothing was written.
+var ErrMoved = errors.New("log stream has another end")
+
+// KeyedEntry is the newest entry of one key of a keyed stream. A nil Value
+// means that the key was dropped.
+type KeyedEntry struct {
+	Key    string
+	Value  []byte
+	Offset ident.Offset
+}
--- /dev/null
+++ b/internal/prepaid/hand.go
@@ -0,0 +1,121 @@
+package prepaid
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// rateSpan is over what time the use of an account is averaged, in seconds:
+// long enough for a steady figure at some requests a second.
+const rateSpan = 4.0
+
+// boundDecay is how much of the largest recent bound is left after a second.
+const boundDecay = 0.97
+
+// hand is the tokens of one account in this router's hand.
+type hand struct {
+	account string
+
+	mu       sync.Mutex // guards all below
+	free     int64      // may be set aside
+	reserved int64      // for requests in progress
+	used     int64      // by requests that are over, in all
+	rate     float64    // tokens a second
+	ticked   time.Time
+	since    int64 // used since the last tick
+	bound    float64
+	need     int64         // of the requests that wait
+	waiters  int           // how many those are
+	changed  chan struct{} // closed when tokens come
+	shortAt  time.Time     // when the ledger last showed too little for shortBy
+	shortBy  int64
+	short    time.Time // since when it shows so without a break; zero if it does not
+}
+
+func newHand(account string) *hand {
+	return &hand{account: account, changed: make(chan struct{})}
+}
+
+// take sets tokens aside if there are enough.
+func (h *hand) take(tokens int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.bound = max(h.bound, float64(tokens))
+	if h.free < tokens {
+		return false
+	}
+	h.free -= tokens
+	h.reserved += tokens
+	return true
+}
+
+// settle ends a request that had set tokens aside.
+func (h *hand) settle(tokens, used int64) {
+	used = min(max(used, 0), tokens)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reserved -= tokens
+	h.free += tokens - used
+	h.used += used
+	h.since += used
+	h.wake()
+}
+
+// give adds tokens that were drawn.
+func (h *hand) give(tokens int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.free += tokens
+	h.short = time.Time{}
+	h.wake()
+}
+
+// giveUp takes tokens out that are to be given back.
+func (h *hand) giveUp(tokens int64) int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	tokens = min(tokens, h.free)
+	h.free -= tokens
+	return tokens
+}
+
+// wake tells those who wait. The lock is held.
+func (h *hand) wake() {
+	if h.waiters == 0 {
+		return
+	}
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// lacks notes that the ledger has too few tokens for a need.
+func (h *hand) lacks(need int64, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.shortAt, h.shortBy = now, need
+	if h.short.IsZero() {
+		h.short = now
+	}
+	h.wake()
+}
+
+// tick moves the averages on and returns the situation and the need of those
+// who wait.
+func (h *hand) tick(now time.Time) (s situation, need int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if elapsed := now.Sub(h.ticked).Seconds(); elapsed > 0 {
+		if !h.ticked.IsZero() {
+			weight := 1 - math.Exp(-elapsed/rateSpan)
+			h.rate += weight * (float64(h.since)/elapsed - h.rate)
+			h.bound *= math.Pow(boundDecay, elapsed)
+		}
+		h.ticked, h.since = now, 0
+	}
+	need = 0
+	if h.waiters > 0 {
+		need = max(h.need-h.free, 0)
+	}
+	return situation{hand: h.free, rate: h.rate, bound: int64(h.bound)}, need
+}
--- /dev/null
+++ b/internal/prepaid/hands.go
@@ -0,0 +1,300 @@
+package prepaid
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/camphorlever/camphorlever/internal/catalog"
+	"github.com/camphorlever/camphorlever/internal/counter"
+)
+
+// Times of the controller and of requests that wait for tokens.
+const (
+	// tickEvery is how often the hands are looked at when nobody waits.
+	tickEvery = 250 * time.Millisecond
+	// waitForDraw is how long a request waits for tokens: an append and its
+	// repetition on a healthy log take some 30 ms, on a slow one 300 ms.
+	waitForDraw = 350 * time.Millisecond
+	// proofAge is how long a verdict of the ledger stands without another look.
+	proofAge = 250 * time.Millisecond
+	// provenAfter is how long the ledger must have shown too little before a
+	// request is told so for good: until then other routers may give back.
+	provenAfter = time.Second
+	// bootWait is how long the controller pauses after a failed load.
+	bootWait = 100 * time.Millisecond
+)
+
+// Outcome is the result of asking for tokens.
+type Outcome uint8
+
+// Outcomes of Acquire.
+const (
+	Granted     Outcome = iota
+	Exhausted           // the account does not have them
+	Unreachable         // it is not known now, or others may still give some back
+)
+
+// Hands is what a router holds of all accounts. It is safe for concurrent use.
+type Hands struct {
+	ledger   *Ledger
+	settings func() *catalog.Settings
+	log      zerolog.Logger
+	events   *counter.Set
+	kick     chan struct{}
+
+	mu     sync.Mutex // guards the map; hands have their own locks
+	hands  map[string]*hand
+	loaded chan struct{} // closed once the ledger was read
+}
+
+// NewHands returns empty hands.
+func NewHands(ledger *Ledger, settings func() *catalog.Settings, log zerolog.Logger) *Hands {
+	return &Hands{
+		ledger:   ledger,
+		settings: settings,
+		log:      log.With().Str("part", "budget").Logger(),
+		events:   counter.NewSet("budget"),
+		kick:     make(chan struct{}, 1),
+		hands:    map[string]*hand{},
+		loaded:   make(chan struct{}),
+	}
+}
+
+// Loaded is closed once it is known what was drawn of the accounts.
+func (g *Hands) Loaded() <-chan struct{} {
+	return g.loaded
+}
+
+func (g *Hands) hand(account string) *hand {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	h := g.hands[account]
+	if h == nil {
+		h = newHand(account)
+		g.hands[account] = h
+	}
+	return h
+}
+
+// Acquire sets tokens of an account aside, and waits a little for a draw if
+// there are too few in hand.
+func (g *Hands) Acquire(ctx context.Context, account string, tokens int64) (*Hold, Outcome) {
+	h := g.hand(account)
+	if h.take(tokens) {
+		return &Hold{hand: h, tokens: tokens}, Granted
+	}
+	if outcome, known := h.proven(tokens, time.Now()); known {
+		return nil, g.refused(outcome)
+	}
+	if g.ledger.Away() {
+		return nil, g.refused(Unreachable)
+	}
+	ctx, cancel := context.WithTimeout(ctx, waitForDraw)
+	defer cancel()
+	for {
+		changed := h.join(tokens)
+		select {
+		case g.kick <- struct{}{}:
+		default:
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+		h.leave(tokens)
+		if h.take(tokens) {
+			return &Hold{hand: h, tokens: tokens}, Granted
+		}
+		if outcome, known := h.proven(tokens, time.Now()); known {
+			return nil, g.refused(outcome)
+		}
+		if ctx.Err() != nil {
+			return nil, g.refused(Unreachable)
+		}
+	}
+}
+
+func (g *Hands) refused(o Outcome) Outcome {
+	if o == Exhausted {
+		g.events.Inc("refused_exhausted")
+	} else {
+		g.events.Inc("refused_unreachable")
+	}
+	return o
+}
+
+// proven returns what the ledger's last verdict means for a request.
+func (h *hand) proven(tokens int64, now time.Time) (Outcome, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.shortAt.IsZero() || now.Sub(h.shortAt) > proofAge || tokens-h.free < h.shortBy {
+		return 0, false
+	}
+	if !h.short.IsZero() && now.Sub(h.short) >= provenAfter {
+		return Exhausted, true
+	}
+	return Unreachable, true
+}
+
+// join adds a request to those that wait and returns what tells of new tokens.
+func (h *hand) join(tokens int64) <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.waiters++
+	h.need += tokens
+	return h.changed
+}
+
+func (h *hand) leave(tokens int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.waiters--
+	h.need -= tokens
+}
+
+// Hold is tokens that are set aside for one request.
+type Hold struct {
+	hand   *hand
+	tokens int64
+	once   sync.Once
+}
+
+// Settle ends the hold with the tokens that were used; the rest is in hand
+// again at once.
+func (h *Hold) Settle(used int64) {
+	h.once.Do(func() { h.hand.settle(h.tokens, used) })
+}
+
+// Run draws before tokens are short and gives back what is not needed, until
+// ctx ends.
+func (g *Hands) Run(ctx context.Context) {
+	for g.ledger.Load(ctx) != nil {
+		g.events.Inc("load_failed")
+		if !wait(ctx, bootWait, nil) {
+			return
+		}
+	}
+	close(g.loaded)
+	for wait(ctx, tickEvery, g.kick) {
+		g.balance(ctx)
+	}
+}
+
+// wait pauses, or until the kick; it returns false when ctx ended.
+func wait(ctx context.Context, d time.Duration, kick <-chan struct{}) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-kick:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
+// balance makes the changes that are due in one append.
+func (g *Hands) balance(ctx context.Context) {
+	settings := g.settings()
+	if settings == nil {
+		return
+	}
+	var due []due
+	var changes []Change
+	urgent := false
+	settings.Accounts(func(a *catalog.Account) {
+		if !a.Metered {
+			return
+		}
+		d := g.look(a, settings.Version)
+		if d.change.Draw > 0 || d.change.Return > 0 || d.need > 0 {
+			due = append(due, d)
+			changes = append(changes, d.change)
+			urgent = true
+		}
+	})
+	if !urgent {
+		return
+	}
+	results, err := g.ledger.Apply(ctx, changes)
+	now := time.Now()
+	if err != nil {
+		g.events.Inc("append_failed")
+		return // returns that may not have taken effect are lost, never spent
+	}
+	for i, d := range due {
+		g.apply(d, results[i], now)
+	}
+}
+
+// due is a change that one hand asks for.
+type due struct {
+	hand   *hand
+	change Change
+	need   int64 // of requests that wait, beyond what is in hand
+}
+
+// look works out the change that is due for an account.
+func (g *Hands) look(a *catalog.Account, version int64) due {
+	h := g.hand(a.Name)
+	s, need := h.tick(time.Now())
+	s.free = a.Prepaid - g.ledger.Drawn(a.Name)
+	d := due{hand: h, need: need, change: Change{Account: a.Name, Paid: a.Prepaid, Version: version}}
+	if need > 0 {
+		d.change.Draw = max(need, s.draw())
+		return d
+	}
+	if excess := s.excess(); excess > 0 {
+		d.change.Return = h.giveUp(excess)
+		return d
+	}
+	d.change.Draw = s.draw()
+	return d
+}
+
+// apply takes over the result of a change.
+func (g *Hands) apply(d due, r Result, now time.Time) {
+	if d.change.Return > 0 {
+		g.events.Inc("returns")
+		g.log.Info().Str("account", d.change.Account).Int64("tokens", d.change.Return).Int64("free", r.Free).
+			Int64("settings", d.change.Version).Msg("tokens given back")
+		return
+	}
+	if r.Given > 0 {
+		g.events.Inc("draws")
+		g.log.Info().Str("account", d.change.Account).Int64("tokens", r.Given).Int64("free", r.Free).
+			Int64("settings", d.change.Version).Msg("tokens drawn")
+		d.hand.give(r.Given)
+	}
+	if r.Given < d.need {
+		g.events.Inc("short")
+		d.hand.lacks(d.need-r.Given, now)
+	}
+}
+
+// Release gives back everything that is in hand, when the router stops.
+func (g *Hands) Release(ctx context.Context) {
+	settings := g.settings()
+	if settings == nil {
+		return
+	}
+	var changes []Change
+	settings.Accounts(func(a *catalog.Account) {
+		if !a.Metered {
+			return
+		}
+		if tokens := g.hand(a.Name).giveUp(a.Prepaid); tokens > 0 {
+			changes = append(changes, Change{Account: a.Name, Paid: a.Prepaid, Version: settings.Version, Return: tokens})
+		}
+	})
+	if len(changes) == 0 {
+		return
+	}
+	if _, err := g.ledger.Apply(ctx, changes); err != nil {
+		g.log.Warn().Err(err).Msg("tokens in hand could not be given back")
+		return
+	}
+	g.log.Info().Int("accounts", len(changes)).Msg("tokens in hand were given back")
+}
--- /dev/null
+++ b/internal/prepaid/ledger.go
@@ -0,0 +1,281 @@
+package prepaid
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/camphorlever/camphorlever/internal/counter"
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/logservice"
+)
+
+// Log is what the ledger needs of the platform's log.
+type Log interface {
+	Newest(ctx context.Context, stream logservice.Stream) ([]logservice.KeyedEntry, ident.Offset, error)
+	ReadKeyed(ctx context.Context, stream logservice.Stream, from ident.Offset, wait time.Duration) ([]logservice.KeyedEntry, ident.Offset, error)
+	AppendAt(ctx context.Context, stream logservice.Stream, at ident.Offset, entries ...logservice.KeyedEntry) error
+}
+
+// Change asks for tokens, or gives some back.
+type Change struct {
+	Account string
+	// Paid is the account's total as of Version of the settings.
+	Paid    int64
+	Version int64
+	// Draw is how many tokens are wanted; fewer are given when the account has
+	// fewer, none when it has less than Least.
+	Draw  int64
+	Least int64
+	// Return is how many of the router's tokens are given back.
+	Return int64
+}
+
+// Result is what became of a change.
+type Result struct {
+	Given int64 // tokens that are now the router's
+	Free  int64 // that the account had left before the change, for anybody to draw
+}
+
+// ErrUnresolved means that it could not be found out whether an append took
+// effect. The tokens that it would have drawn are not given to anybody.
+var ErrUnresolved = errors.New("outcome of the append cannot be known any more")
+
+// Times of the calls.
+const (
+	// callTimeout bounds one call; a slow log takes some 300 ms for each.
+	callTimeout = 900 * time.Millisecond
+	// retryPause is between two calls that failed.
+	retryPause = 100 * time.Millisecond
+)
+
+// Ledger is a router's view of the entries of all accounts. One caller at a
+// time changes it.
+type Ledger struct {
+	log    Log
+	stream logservice.Stream
+	life   string
+	logger zerolog.Logger
+	events *counter.Set
+
+	mu      sync.Mutex // guards entries; only the caller of Apply changes them
+	entries map[string]entry
+	end     ident.Offset // up to which the entries are known; only Apply's caller uses it
+	loaded  bool         // the same
+	writes  uint64       // the same
+
+	away atomic.Bool // the last call was not answered
+}
+
+// NewLedger returns a ledger for one life of a router, whose name no other
+// life ever has.
+func NewLedger(log Log, stream logservice.Stream, life string, logger zerolog.Logger) *Ledger {
+	return &Ledger{
+		log:     log,
+		stream:  stream,
+		life:    life,
+		logger:  logger.With().Str("part", "ledger").Logger(),
+		events:  counter.NewSet("ledger"),
+		entries: map[string]entry{},
+	}
+}
+
+// Load reads the entries of all accounts.
+func (l *Ledger) Load(ctx context.Context) error {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	newest, end, err := l.log.Newest(call, l.stream)
+	if err != nil {
+		return err
+	}
+	entries := make(map[string]entry, len(newest))
+	for _, raw := range newest {
+		e, err := decode(raw)
+		if err != nil {
+			return err // an unknown sum must not be taken for zero
+		}
+		entries[raw.Key] = e
+	}
+	l.mu.Lock()
+	l.entries = entries
+	l.mu.Unlock()
+	l.end, l.loaded = end, true
+	return nil
+}
+
+// Drawn returns how much of an account was drawn, as last read.
+func (l *Ledger) Drawn(account string) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.entries[account].Drawn
+}
+
+// Apply makes changes in one append. It goes on until it is known what became
+// of the append or ctx ends. The results are in the order of the changes.
+func (l *Ledger) Apply(ctx context.Context, changes []Change) ([]Result, error) {
+	for {
+		if !l.loaded {
+			if err := l.Load(ctx); err != nil {
+				return nil, err
+			}
+		}
+		results, entries := l.plan(changes)
+		if len(entries) == 0 {
+			return results, nil
+		}
+		won, err := l.write(ctx, entries)
+		if err != nil {
+			return nil, err
+		}
+		if won {
+			return results, nil
+		}
+		l.events.Inc("conflicts")
+	}
+}
+
+// plan works out the results of changes if they took effect now.
+func (l *Ledger) plan(changes []Change) ([]Result, map[string]entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	results := make([]Result, len(changes))
+	planned := map[string]entry{}
+	for i, c := range changes {
+		e, again := planned[c.Account]
+		if !again {
+			e = l.entries[c.Account]
+		}
+		if c.Version > e.Version {
+			e.Paid, e.Version = c.Paid, c.Version
+		}
+		before := e.Drawn
+		results[i].Free = e.Paid - e.Drawn
+		if give := min(c.Draw, results[i].Free); give > 0 && give >= c.Least {
+			e.Drawn += give
+			results[i].Given = give
+		}
+		e.Drawn -= c.Return
+		if e.Drawn != before {
+			planned[c.Account] = e
+		}
+	}
+	return results, planned
+}
+
+// write appends entries at the end that they were worked out for. It reports
+// whether they took effect; if not they never will.
+func (l *Ledger) write(ctx context.Context, planned map[string]entry) (bool, error) {
+	l.writes++
+	batch := make([]logservice.KeyedEntry, 0, len(planned))
+	accounts := slices.Sorted(maps.Keys(planned))
+	for _, account := range accounts {
+		e := planned[account]
+		e.Life, e.Write = l.life, l.writes
+		raw, err := e.encode()
+		if err != nil {
+			return false, err
+		}
+		batch = append(batch, logservice.KeyedEntry{Key: account, Value: raw})
+	}
+	at := l.end
+	for failures := 0; ; failures++ {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		err := l.log.AppendAt(call, l.stream, at, batch...)
+		cancel()
+		l.events.Inc("appends")
+		l.answered(err == nil || errors.Is(err, logservice.ErrMoved))
+		if err == nil {
+			l.took(planned, at+ident.Offset(len(batch)))
+			return true, nil
+		}
+		if !errors.Is(err, logservice.ErrMoved) {
+			l.events.Inc("append_unknown")
+			l.logger.Debug().Err(err).Int64("offset", int64(at)).Msg("append has no reply, it is read back")
+		}
+		mine, known, err := l.readBack(ctx, at)
+		if errors.Is(err, logservice.ErrTrimmed) {
+			return l.resolveTrimmed(ctx, accounts)
+		}
+		if err == nil && known {
+			return mine, nil
+		}
+		// Nothing is there yet. Appending the same at the same end again is
+		// safe: only one of the two can take effect.
+		select {
+		case <-ctx.Done():
+			return false, errors.Wrap(ctx.Err(), "append of budget entries")
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// Away reports whether the last append was not answered.
+func (l *Ledger) Away() bool {
+	return l.away.Load()
+}
+
+func (l *Ledger) answered(ok bool) {
+	if l.away.Swap(!ok) == !ok {
+		return
+	}
+	if ok {
+		l.logger.Info().Int64("offset", int64(l.end)).Msg("budget entries can be written again")
+	} else {
+		l.logger.Warn().Int64("offset", int64(l.end)).Msg("budget entries cannot be written, tokens in hand are spent on")
+	}
+}
+
+func (l *Ledger) took(planned map[string]entry, end ident.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.Copy(l.entries, planned)
+	l.end = end
+}
+
+// readBack reads what stands at the offset and after, and reports whether it is
+// this life's last append. It is not known as long as nothing stands there.
+func (l *Ledger) readBack(ctx context.Context, at ident.Offset) (mine, known bool, err error) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	read, _, err := l.log.ReadKeyed(call, l.stream, at, 0)
+	if err != nil || len(read) == 0 {
+		return false, false, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, raw := range read {
+		e, err := decode(raw)
+		if err != nil {
+			return false, false, err
+		}
+		if i == 0 {
+			mine = e.Life == l.life && e.Write == l.writes
+		}
+		l.entries[raw.Key] = e
+	}
+	l.end = read[len(read)-1].Offset + 1
+	return mine, true, nil
+}
+
+// resolveTrimmed looks for an append that was trimmed before it was read back.
+// If another one stands over it, nobody can know whether it took effect.
+func (l *Ledger) resolveTrimmed(ctx context.Context, accounts []string) (bool, error) {
+	l.loaded = false
+	if err := l.Load(ctx); err != nil {
+		return false, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, account := range accounts {
+		if e := l.entries[account]; e.Life == l.life && e.Write == l.writes {
+			return true, nil // an append takes effect whole
+		}
+	}
+	return false, ErrUnresolved
+}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -22,6 +22,13 @@
 	Floor = 3
 )
 
+// Limits are what a Budget allows within a window that slides.
+type Limits struct {
+	Share  float64       // retries per request
+	Floor  int64         // retries that are allowed however few requests there are
+	Window time.Duration // span of requests and retries that count
+}
+
 // slots divides the window; the oldest slot is dropped as time goes on.
 const slots = 10
 
@@ -32,15 +39,21 @@
 	retries  [slots]int64
 	slot     int64 // number of the newest slot since the zero time
 	now      func() time.Time
+	limits   Limits
 }
 
 // NewBudget returns a budget without history. The clock may be nil for the
 // real one.
 func NewBudget(now func() time.Time) *Budget {
+	return NewLimited(Limits{Share: Share, Floor: Floor, Window: Window}, now)
+}
+
+// NewLimited returns a budget with limits of its own.
+func NewLimited(limits Limits, now func() time.Time) *Budget {
 	if now == nil {
 		now = time.Now
 	}
-	return &Budget{now: now}
+	return &Budget{now: now, limits: limits}
 }
 
 // Request counts a request that came in.
@@ -61,7 +74,7 @@
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
-	if retries >= Floor && float64(retries+1) > Share*float64(requests) {
+	if retries >= b.limits.Floor && float64(retries+1) > b.limits.Share*float64(requests) {
 		return false
 	}
 	b.retries[b.slot%slots]++
@@ -69,7 +82,7 @@
 }
 
 func (b *Budget) advance() {
-	current := b.now().UnixNano() / int64(Window/slots)
+	current := b.now().UnixNano() / int64(b.limits.Window/slots)
 	if current-b.slot >= slots {
 		b.requests, b.retries = [slots]int64{}, [slots]int64{}
 		b.slot = current
--- /dev/null
+++ b/internal/watch/watch.go
@@ -0,0 +1,243 @@
+// Package watch follows a keyed stream of the platform's log: it hands over the
+// newest entry of each key once, then every further entry in order.
+package watch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/camphorlever/camphorlever/internal/counter"
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/logservice"
+)
+
+// Log is what a watcher needs of the platform's log.
+type Log interface {
+	Newest(ctx context.Context, stream logservice.Stream) ([]logservice.KeyedEntry, ident.Offset, error)
+	ReadKeyed(ctx context.Context, stream logservice.Stream, from ident.Offset, wait time.Duration) ([]logservice.KeyedEntry, ident.Offset, error)
+}
+
+// Sink takes in what a watcher reads. Its methods are called one at a time.
+type Sink interface {
+	// Reset gives the newest entry of every key there is.
+	Reset(entries []logservice.KeyedEntry)
+	// Apply gives entries that were added since.
+	Apply(entries []logservice.KeyedEntry)
+	// Reachable tells whether the last call to the log was answered.
+	Reachable(ok bool)
+}
+
+// Times of the calls.
+const (
+	// pollWait is how long the log holds a read without entries. A connection
+	// that went silent is noticed after pollWait + replyTimeout, which has to
+	// stay below the time in which settings come into force.
+	pollWait = 900 * time.Millisecond
+	// replyTimeout is how long a reply may take beyond the wait; a slow log
+	// takes some 300 ms.
+	replyTimeout = 700 * time.Millisecond
+	// firstPause and longestPause bound the pause after a failure. The longest
+	// stays well below the time in which settings come into force.
+	firstPause   = 60 * time.Millisecond
+	longestPause = 400 * time.Millisecond
+)
+
+// Watcher follows one stream. Run must be running.
+type Watcher struct {
+	log    Log
+	stream logservice.Stream
+	sink   Sink
+	// gap is the least time between two reads, which bounds the calls where
+	// many writers add entries one by one.
+	gap    time.Duration
+	logger zerolog.Logger
+	events *counter.Set
+
+	next   ident.Offset // only Run uses it
+	loaded bool         // only Run uses it; Reset was called
+
+	mu      sync.Mutex // guards all below
+	contact time.Time  // when the newest answered call began
+	asked   bool       // somebody waits for a fresh read
+	changed chan struct{}
+	abort   context.CancelFunc // ends the poll in progress
+}
+
+// New returns a watcher.
+func New(log Log, stream logservice.Stream, sink Sink, gap time.Duration, logger zerolog.Logger) *Watcher {
+	return &Watcher{
+		log:     log,
+		stream:  stream,
+		sink:    sink,
+		gap:     gap,
+		logger:  logger.With().Str("part", "watch").Str("stream", string(stream)).Logger(),
+		events:  counter.NewSet("watch"),
+		changed: make(chan struct{}),
+	}
+}
+
+// Contact returns a time up to which all entries are known, zero if none are.
+func (w *Watcher) Contact() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.contact
+}
+
+// Fresh waits until everything added before now is known. It fails when ctx
+// ends first.
+func (w *Watcher) Fresh(ctx context.Context) error {
+	since := time.Now()
+	for {
+		w.mu.Lock()
+		if !w.contact.Before(since) {
+			w.mu.Unlock()
+			return nil
+		}
+		changed := w.changed
+		if !w.asked {
+			w.asked = true
+			if w.abort != nil {
+				w.abort()
+			}
+		}
+		w.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "stream %s", w.stream)
+		}
+	}
+}
+
+// Run follows the stream until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		begun := time.Now()
+		held, err := w.step(ctx, failures)
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, errInterrupted) {
+			continue
+		}
+		if err != nil {
+			w.failed(err, failures)
+			sleep(ctx, pause(failures))
+			failures++
+			continue
+		}
+		if failures > 0 {
+			w.logger.Info().Int("failures", failures).Int64("offset", int64(w.next)).Msg("log can be read again")
+		}
+		failures = 0
+		w.answered(begun.Add(held))
+		sleep(ctx, w.gap-time.Since(begun))
+	}
+}
+
+var errInterrupted = errors.New("poll was interrupted for a fresh read")
+
+// step makes one read and hands its entries over. It returns for how long the
+// log held the read without finding an entry.
+func (w *Watcher) step(ctx context.Context, failures int) (time.Duration, error) {
+	wait := pollWait
+	if failures > 0 || !w.loaded {
+		wait = 0
+	}
+	w.mu.Lock()
+	if w.asked {
+		wait = 0
+		w.asked = false
+	}
+	call, cancel := context.WithTimeout(ctx, wait+replyTimeout)
+	interruptible := wait > 0
+	if interruptible {
+		w.abort = cancel
+	}
+	w.mu.Unlock()
+	defer cancel()
+	found, err := w.read(call, wait)
+	w.mu.Lock()
+	w.abort = nil
+	interrupted := interruptible && w.asked && errors.Is(call.Err(), context.Canceled)
+	w.mu.Unlock()
+	if err != nil && interrupted {
+		return 0, errInterrupted
+	}
+	if found {
+		wait = 0
+	}
+	return wait, err
+}
+
+// read makes one read; it reports whether there were entries.
+func (w *Watcher) read(ctx context.Context, wait time.Duration) (bool, error) {
+	if !w.loaded {
+		return true, w.load(ctx)
+	}
+	entries, _, err := w.log.ReadKeyed(ctx, w.stream, w.next, wait)
+	if errors.Is(err, logservice.ErrTrimmed) {
+		w.events.Inc("trimmed")
+		w.logger.Info().Int64("offset", int64(w.next)).Msg("entries were trimmed, the newest are read again")
+		return true, w.load(ctx)
+	}
+	if err != nil || len(entries) == 0 {
+		return false, err
+	}
+	w.next = entries[len(entries)-1].Offset + 1
+	w.sink.Apply(entries)
+	return true, nil
+}
+
+func (w *Watcher) load(ctx context.Context) error {
+	entries, next, err := w.log.Newest(ctx, w.stream)
+	if err != nil {
+		return err
+	}
+	w.next, w.loaded = next, true
+	w.sink.Reset(entries)
+	return nil
+}
+
+func (w *Watcher) failed(err error, failures int) {
+	w.events.Inc("failed")
+	if failures == 0 {
+		w.logger.Warn().Err(err).Int64("offset", int64(w.next)).Msg("log cannot be read, the last state stays")
+	}
+	w.sink.Reachable(false)
+}
+
+// answered notes that everything up to a time is known.
+func (w *Watcher) answered(known time.Time) {
+	w.sink.Reachable(true)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.contact = known
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// pause grows with the failures in a row; half of it is drawn at random, so
+// that routers do not return together.
+func pause(failures int) time.Duration {
+	limit := min(firstPause<<min(failures, 10), longestPause)
+	return limit/2 + rand.N(limit/2)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
