--- a/internal/prepaid/hand.go
+++ b/internal/prepaid/hand.go
@@ -22,6 +22,7 @@
 	reserved int64      // for requests in progress
 	used     int64      // by requests that are over, in all
 	rate     float64    // tokens a second
+	weight   float64 // of the time that the rate is known from, up to 1
 	ticked   time.Time
 	since    int64 // used since the last tick
 	bound    float64
@@ -100,6 +101,18 @@
 	h.wake()
 }
 
+// average takes the use of some seconds into the rate. As long as the account
+// has not been used for rateSpan, the rate is the mean over that time.
+func (h *hand) average(used, elapsed float64) {
+	if h.used == 0 {
+		return
+	}
+	kept := math.Exp(-elapsed / rateSpan)
+	weight := kept*h.weight + 1 - kept
+	h.rate = (kept*h.weight*h.rate + (1-kept)*used/elapsed) / weight
+	h.weight = weight
+}
+
 // tick moves the averages on and returns the situation and the need of those
 // who wait.
 func (h *hand) tick(now time.Time) (s situation, need int64) {
@@ -107,8 +120,7 @@
 	defer h.mu.Unlock()
 	if elapsed := now.Sub(h.ticked).Seconds(); elapsed > 0 {
 		if !h.ticked.IsZero() {
-			weight := 1 - math.Exp(-elapsed/rateSpan)
-			h.rate += weight * (float64(h.since)/elapsed - h.rate)
+			h.average(float64(h.since), elapsed)
 			h.bound *= math.Pow(boundDecay, elapsed)
 		}
 		h.ticked, h.since = now, 0
--- a/internal/prepaid/size.go
+++ b/internal/prepaid/size.go
@@ -7,18 +7,20 @@
 // limit.
 const (
 	// horizon is for how long the tokens in hand should last without the log,
-	// somewhat above its usual outages of 5 to 9 seconds.
-	horizon = 12 * time.Second
+	// somewhat above its usual outages of 5 to 9 seconds. What is held dies
+	// with the router, so more would cost more than it saves.
+	horizon = 9500 * time.Millisecond
 	// share is the part of what is left of an account that one router holds at
-	// most, so that the death of several does not take most of it along.
-	share = 0.07
+	// most, so that the death of several does not take all of it along.
+	share = 0.2
 	// floorShare is held of an account that has not asked here lately, so that
 	// its first requests in an outage are served.
-	floorShare = 0.01
-	// lowWater is the part of the target below which a draw is due.
-	lowWater = 0.75
+	floorShare = 0.03
+	// lowWater is the part of the target below which a draw is due. An append
+	// costs little, so the hand stays close to the target.
+	lowWater = 0.92
 	// highWater is the part of the target above which tokens are given back.
-	highWater = 1.6
+	highWater = 1.12
 	// minRuns is how many requests of the largest recent bound are worth
 	// holding as long as the account has much more.
 	minRuns = 2
