--- a/cmd/camphor-entry/main.go
+++ b/cmd/camphor-entry/main.go
@@ -119,6 +119,8 @@
 		DataCentre:     local.DataCentre,
 		CallersAddress: local.CallersAddress,
 		ReadyAddress:   local.ReadyAddress,
+		PeerAddress:    local.PeerAddress,
+		FleetKey:       local.FleetKey,
 		PathReady:      platform.PathReady,
 		Grace:          local.Bounds.Grace,
 		Retries: retry.Limits{
@@ -129,6 +131,7 @@
 		StreamSettings: platform.StreamOperator,
 		StreamServers:  platform.StreamServers,
 		StreamBudgets:  platform.StreamBudgets,
+		StreamRouters:  platform.StreamRouters,
 		Decoder: entry.Decoder{
 			Settings:    platform.DecodeSettings,
 			Server:      platform.DecodeServer,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,19 +24,17 @@
 	"github.com/camphorlever/camphorlever/internal/filter/spend"
 	"github.com/camphorlever/camphorlever/internal/logservice"
 	"github.com/camphorlever/camphorlever/internal/membership"
+	"github.com/camphorlever/camphorlever/internal/peers"
 	"github.com/camphorlever/camphorlever/internal/prepaid"
 	"github.com/camphorlever/camphorlever/internal/retry"
+	"github.com/camphorlever/camphorlever/internal/rpc"
 	"github.com/camphorlever/camphorlever/internal/upstream"
 	"github.com/camphorlever/camphorlever/internal/watch"
+	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
 // Times and limits of the process.
 const (
-	// settingsGap and serversGap are the least times between two reads of a
-	// stream: small against the seconds in which a change must be in force,
-	// and enough to take in many entries at once.
-	settingsGap = 100 * time.Millisecond
-	serversGap  = 300 * time.Millisecond
 	// settleEvery is how often lapsed servers and idle connections are looked
 	// at.
 	settleEvery = 200 * time.Millisecond
@@ -58,10 +56,21 @@
 	retryMargin = 0.8
 )
 
+// How the streams are read. The gaps are small against the seconds in which a
+// change must be in force, and take in many entries at once. The holds let a
+// silent connection be noticed within that time; where routers are to be found
+// is not urgent.
+var (
+	settingsPace = watch.Pace{Gap: 100 * time.Millisecond, Hold: 900 * time.Millisecond}
+	serversPace  = watch.Pace{Gap: 300 * time.Millisecond, Hold: 900 * time.Millisecond}
+	routersPace  = watch.Pace{Gap: time.Second, Hold: 10 * time.Second}
+)
+
 // Log is the platform's log.
 type Log interface {
 	watch.Log
 	prepaid.Log
+	peers.Announcer
 }
 
 // Codec translates headers at the boundary.
@@ -78,6 +87,8 @@
 	DataCentre     string
 	CallersAddress string
 	ReadyAddress   string
+	PeerAddress    string // for calls between routers
+	FleetKey       string // that calls between routers must carry
 	PathReady      string
 	MetricsAddress string        // empty: no metrics are served
 	Grace          time.Duration // from the signal to stop until the process is killed
@@ -86,17 +97,21 @@
 	StreamSettings logservice.Stream
 	StreamServers  logservice.Stream
 	StreamBudgets  logservice.Stream
+	StreamRouters  logservice.Stream
 	Decoder        Decoder
 }
 
 // Router is a router process.
 type Router struct {
 	options   Options
+	platform  Log
 	codec     Codec
 	log       zerolog.Logger
 	settings  *published
 	table     *membership.Table
 	serverLog *watch.Watcher
+	routerLog *watch.Watcher
+	roster    *peers.Roster
 	hands     *prepaid.Hands
 	placer    *affinity.Placer
 	pool      *upstream.Pool
@@ -107,6 +122,7 @@
 	stopping atomic.Bool
 
 	callers *http.Server
+	inner   *http.Server
 	ready   *http.Server
 	metrics *http.Server
 	failed  chan error
@@ -120,6 +136,7 @@
 func New(o Options, log Log, codec Codec, logger zerolog.Logger) *Router {
 	r := &Router{
 		options:  o,
+		platform: log,
 		codec:    codec,
 		log:      logger.With().Str("part", "entry").Logger(),
 		table:    membership.New(logger),
@@ -129,10 +146,13 @@
 		failed:   make(chan error, 3),
 	}
 	r.settings = &published{decoder: o.Decoder, log: r.log, changed: func(*catalog.Settings) {}}
-	r.settings.watcher = watch.New(log, o.StreamSettings, r.settings, settingsGap, logger)
-	r.serverLog = watch.New(log, o.StreamServers, &servers{decoder: o.Decoder, table: r.table}, serversGap, logger)
+	r.settings.watcher = watch.New(log, o.StreamSettings, r.settings, settingsPace, logger)
+	r.serverLog = watch.New(log, o.StreamServers, &servers{decoder: o.Decoder, table: r.table}, serversPace, logger)
 	life := o.Node + "/" + uuid.NewString()
-	r.hands = prepaid.NewHands(prepaid.NewLedger(log, o.StreamBudgets, life, logger), r.settings.Current, logger)
+	r.roster = peers.NewRoster(peers.Member{Node: o.Node, Address: o.PeerAddress, Life: life}, o.StreamRouters, logger)
+	r.routerLog = watch.New(log, o.StreamRouters, r.roster, routersPace, logger)
+	ledger := prepaid.NewLedger(log, o.StreamBudgets, life, logger)
+	r.hands = prepaid.NewHands(ledger, r.settings.Current, peers.NewClient(r.roster, o.FleetKey), logger)
 	r.chain = filter.Chain(
 		recovery.New(r.log),
 		route.New(&freshSettings{r.settings}, codec),
@@ -180,6 +200,16 @@
 	if err := r.listen(r.ready, r.options.ReadyAddress); err != nil {
 		return err
 	}
+	control := rpc.NewServer(r.options.FleetKey)
+	if err := control.Register(peers.Service, peers.NewMethods(r.hands)); err != nil {
+		return err
+	}
+	inner := http.NewServeMux()
+	inner.Handle(wire.PathRPC, control)
+	r.inner = r.server(inner)
+	if err := r.listen(r.inner, r.options.PeerAddress); err != nil {
+		return err
+	}
 	if r.options.MetricsAddress != "" {
 		r.metrics = r.server(r.outcomes.handler())
 		if err := r.listen(r.metrics, r.options.MetricsAddress); err != nil {
@@ -189,6 +219,8 @@
 	r.work.Go(func() { r.settings.watcher.Run(ctx) })
 	r.work.Go(func() { r.serverLog.Run(ctx) })
 	r.work.Go(func() { r.settle(ctx) })
+	r.work.Go(func() { r.announce(ctx) })
+	r.work.Go(func() { r.routerLog.Run(ctx) })
 	r.budget.Go(func() { r.hands.Run(drawing) })
 	r.log.Info().Str("node", r.options.Node).Str("data_centre", r.options.DataCentre).Msg("router started")
 	return nil
@@ -217,6 +249,13 @@
 	return nil
 }
 
+// announce lets the other routers know of this one.
+func (r *Router) announce(ctx context.Context) {
+	if err := r.roster.Announce(ctx, r.platform); err != nil {
+		r.log.Warn().Err(err).Msg("router could not announce itself")
+	}
+}
+
 // Failed tells of a listener that broke.
 func (r *Router) Failed() <-chan error { return r.failed }
 
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -40,6 +40,9 @@
 	release, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	r.hands.Release(release)
+	if err := r.roster.Leave(release, r.platform); err != nil {
+		r.log.Warn().Err(err).Msg("other routers could not be told of the stop")
+	}
 	shutdown, end := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer end()
 	if err := r.callers.Shutdown(shutdown); err != nil {
--- /dev/null
+++ b/internal/peers/service.go
@@ -0,0 +1,33 @@
+package peers
+
+import (
+	"github.com/camphorlever/camphorlever/internal/prepaid"
+	"github.com/camphorlever/camphorlever/internal/wire"
+)
+
+// Lender gives tokens to other routers.
+type Lender interface {
+	Lend(args prepaid.BorrowArgs) prepaid.BorrowReply
+}
+
+// Methods are what other routers call, by net/rpc.
+type Methods struct {
+	lender Lender
+}
+
+// NewMethods returns the methods of a router.
+func NewMethods(lender Lender) *Methods {
+	return &Methods{lender: lender}
+}
+
+// Lend hands tokens of an account over. They leave this router's hand before
+// the reply is sent; a reply that is lost loses them.
+func (m *Methods) Lend(args *prepaid.BorrowArgs, reply *prepaid.BorrowReply) error {
+	*reply = m.lender.Lend(*args)
+	return nil
+}
+
+// Ping answers the heartbeat of a connection.
+func (*Methods) Ping(*wire.PingArgs, *wire.PingReply) error {
+	return nil
+}
--- a/internal/prepaid/hand.go
+++ b/internal/prepaid/hand.go
@@ -17,21 +17,22 @@
 type hand struct {
 	account string
 
-	mu       sync.Mutex // guards all below
-	free     int64      // may be set aside
-	reserved int64      // for requests in progress
-	used     int64      // by requests that are over, in all
-	rate     float64    // tokens a second
-	weight   float64 // of the time that the rate is known from, up to 1
-	ticked   time.Time
-	since    int64 // used since the last tick
-	bound    float64
-	need     int64         // of the requests that wait
-	waiters  int           // how many those are
-	changed  chan struct{} // closed when tokens come
-	shortAt  time.Time     // when the ledger last showed too little for shortBy
-	shortBy  int64
-	short    time.Time // since when it shows so without a break; zero if it does not
+	mu        sync.Mutex // guards all below
+	free      int64      // may be set aside
+	reserved  int64      // for requests in progress
+	used      int64      // by requests that are over, in all
+	rate      float64    // tokens a second
+	weight    float64    // of the time that the rate is known from, up to 1
+	ticked    time.Time
+	since     int64 // used since the last tick
+	bound     float64
+	need      int64         // of the requests that wait
+	waiters   int           // how many those are
+	changed   chan struct{} // closed when tokens come
+	shortAt   time.Time     // when the ledger last showed too little for shortBy
+	shortBy   int64
+	borrowing chan struct{} // closed when the call to other routers ends; nil if there is none
+	short     time.Time     // since when it shows so without a break; zero if it does not
 }
 
 func newHand(account string) *hand {
--- a/internal/prepaid/hands.go
+++ b/internal/prepaid/hands.go
@@ -41,6 +41,7 @@
 type Hands struct {
 	ledger   *Ledger
 	settings func() *catalog.Settings
+	peers    Peers // nil if there are none
 	log      zerolog.Logger
 	events   *counter.Set
 	kick     chan struct{}
@@ -50,11 +51,12 @@
 	loaded chan struct{} // closed once the ledger was read
 }
 
-// NewHands returns empty hands.
-func NewHands(ledger *Ledger, settings func() *catalog.Settings, log zerolog.Logger) *Hands {
+// NewHands returns empty hands. The peers may be nil.
+func NewHands(ledger *Ledger, settings func() *catalog.Settings, peers Peers, log zerolog.Logger) *Hands {
 	return &Hands{
 		ledger:   ledger,
 		settings: settings,
+		peers:    peers,
 		log:      log.With().Str("part", "budget").Logger(),
 		events:   counter.NewSet("budget"),
 		kick:     make(chan struct{}, 1),
@@ -79,44 +81,51 @@
 	return h
 }
 
-// Acquire sets tokens of an account aside, and waits a little for a draw if
-// there are too few in hand.
+// Acquire sets tokens of an account aside. If there are too few in hand it
+// waits a little for a draw, and asks other routers where a draw cannot help.
 func (g *Hands) Acquire(ctx context.Context, account string, tokens int64) (*Hold, Outcome) {
 	h := g.hand(account)
 	if h.take(tokens) {
 		return &Hold{hand: h, tokens: tokens}, Granted
 	}
-	if outcome, known := h.proven(tokens, time.Now()); known {
-		return nil, g.refused(outcome)
-	}
-	if g.ledger.Away() {
-		return nil, g.refused(Unreachable)
-	}
 	ctx, cancel := context.WithTimeout(ctx, waitForDraw)
 	defer cancel()
 	for {
-		changed := h.join(tokens)
-		select {
-		case g.kick <- struct{}{}:
-		default:
+		outcome, known := h.proven(tokens, time.Now())
+		if g.ledger.Away() {
+			outcome, known = Unreachable, true
 		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
+		if known {
+			g.borrow(ctx, h, tokens)
+			if h.take(tokens) {
+				return &Hold{hand: h, tokens: tokens}, Granted
+			}
+			return nil, g.refused(outcome)
 		}
-		h.leave(tokens)
+		g.await(ctx, h, tokens)
 		if h.take(tokens) {
 			return &Hold{hand: h, tokens: tokens}, Granted
 		}
-		if outcome, known := h.proven(tokens, time.Now()); known {
-			return nil, g.refused(outcome)
-		}
 		if ctx.Err() != nil {
 			return nil, g.refused(Unreachable)
 		}
 	}
 }
 
+// await waits until tokens come into a hand, a verdict on them, or ctx ends.
+func (g *Hands) await(ctx context.Context, h *hand, tokens int64) {
+	changed := h.join(tokens)
+	defer h.leave(tokens)
+	select {
+	case g.kick <- struct{}{}:
+	default:
+	}
+	select {
+	case <-changed:
+	case <-ctx.Done():
+	}
+}
+
 func (g *Hands) refused(o Outcome) Outcome {
 	if o == Exhausted {
 		g.events.Inc("refused_exhausted")
--- a/internal/prepaid/size.go
+++ b/internal/prepaid/size.go
@@ -15,7 +15,7 @@
 	share = 0.2
 	// floorShare is held of an account that has not asked here lately, so that
 	// its first requests in an outage are served.
-	floorShare = 0.03
+	floorShare = 0.015
 	// lowWater is the part of the target below which a draw is due. An append
 	// costs little, so the hand stays close to the target.
 	lowWater = 0.92
@@ -23,7 +23,7 @@
 	highWater = 1.12
 	// minRuns is how many requests of the largest recent bound are worth
 	// holding as long as the account has much more.
-	minRuns = 2
+	minRuns = 1
 )
 
 // situation is what a router knows of an account when it sizes its share.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -34,10 +34,6 @@
 
 // Times of the calls.
 const (
-	// pollWait is how long the log holds a read without entries. A connection
-	// that went silent is noticed after pollWait + replyTimeout, which has to
-	// stay below the time in which settings come into force.
-	pollWait = 900 * time.Millisecond
 	// replyTimeout is how long a reply may take beyond the wait; a slow log
 	// takes some 300 ms.
 	replyTimeout = 700 * time.Millisecond
@@ -47,14 +43,22 @@
 	longestPause = 400 * time.Millisecond
 )
 
+// Pace says how often a stream is read.
+type Pace struct {
+	// Gap is the least time between two reads, which bounds the calls where
+	// many writers add entries one by one.
+	Gap time.Duration
+	// Hold is how long the log holds a read without entries. A connection that
+	// went silent is noticed soon after.
+	Hold time.Duration
+}
+
 // Watcher follows one stream. Run must be running.
 type Watcher struct {
 	log    Log
 	stream logservice.Stream
 	sink   Sink
-	// gap is the least time between two reads, which bounds the calls where
-	// many writers add entries one by one.
-	gap    time.Duration
+	pace   Pace
 	logger zerolog.Logger
 	events *counter.Set
 
@@ -69,12 +73,12 @@
 }
 
 // New returns a watcher.
-func New(log Log, stream logservice.Stream, sink Sink, gap time.Duration, logger zerolog.Logger) *Watcher {
+func New(log Log, stream logservice.Stream, sink Sink, pace Pace, logger zerolog.Logger) *Watcher {
 	return &Watcher{
 		log:     log,
 		stream:  stream,
 		sink:    sink,
-		gap:     gap,
+		pace:    pace,
 		logger:  logger.With().Str("part", "watch").Str("stream", string(stream)).Logger(),
 		events:  counter.NewSet("watch"),
 		changed: make(chan struct{}),
@@ -137,7 +141,7 @@
 		}
 		failures = 0
 		w.answered(begun.Add(held))
-		sleep(ctx, w.gap-time.Since(begun))
+		sleep(ctx, w.pace.Gap-time.Since(begun))
 	}
 }
 
@@ -146,7 +150,7 @@
 // step makes one read and hands its entries over. It returns for how long the
 // log held the read without finding an entry.
 func (w *Watcher) step(ctx context.Context, failures int) (time.Duration, error) {
-	wait := pollWait
+	wait := w.pace.Hold
 	if failures > 0 || !w.loaded {
 		wait = 0
 	}
