--- a/internal/prepaid/hands.go
+++ b/internal/prepaid/hands.go
@@ -250,6 +250,7 @@
 	h := g.hand(a.Name)
 	s, need := h.tick(time.Now())
 	s.free = a.Prepaid - g.ledger.Drawn(a.Name)
+	s.fleet = g.ledger.FleetRate(a.Name)
 	d := due{hand: h, need: need, change: Change{Account: a.Name, Paid: a.Prepaid, Version: version}}
 	if need > 0 {
 		d.change.Draw = max(need, s.draw())
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -64,8 +64,9 @@
 	logger zerolog.Logger
 	events *counter.Set
 
-	mu      sync.Mutex // guards entries; only the caller of Apply changes them
+	mu      sync.Mutex // guards entries and drains; only the caller of Apply changes them
 	entries map[string]entry
+	drains  map[string]*drain
 	end     ident.Offset // up to which the entries are known; only Apply's caller uses it
 	loaded  bool         // the same
 	writes  uint64       // the same
@@ -83,6 +84,7 @@
 		logger:  logger.With().Str("part", "ledger").Logger(),
 		events:  counter.NewSet("ledger"),
 		entries: map[string]entry{},
+		drains:  map[string]*drain{},
 	}
 }
 
@@ -116,6 +118,42 @@
 	return l.entries[account].Drawn
 }
 
+// FleetRate returns how many tokens a second all routers use of an account, as
+// far as the growth of what they drew tells; zero as long as it is not known.
+func (l *Ledger) FleetRate(account string) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if d := l.drains[account]; d != nil {
+		return d.rate
+	}
+	return 0
+}
+
+// drain follows how fast an account is drawn from.
+type drain struct {
+	since time.Time
+	drawn int64
+	rate  float64 // tokens a second
+}
+
+// drainSpan is over what time the rate of an account is taken: long against the
+// steps in which routers draw.
+const drainSpan = 4 * time.Second
+
+// follow takes in what was drawn of an account. The lock is held.
+func (l *Ledger) follow(account string, drawn int64) {
+	now := time.Now()
+	d := l.drains[account]
+	if d == nil {
+		l.drains[account] = &drain{since: now, drawn: drawn}
+		return
+	}
+	if elapsed := now.Sub(d.since); elapsed >= drainSpan {
+		d.rate = max(float64(drawn-d.drawn)/elapsed.Seconds(), 0)
+		d.since, d.drawn = now, drawn
+	}
+}
+
 // Apply makes changes in one append. It goes on until it is known what became
 // of the append or ctx ends. The results are in the order of the changes.
 func (l *Ledger) Apply(ctx context.Context, changes []Change) ([]Result, error) {
@@ -235,6 +273,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	maps.Copy(l.entries, planned)
+	for account, e := range planned {
+		l.follow(account, e.Drawn)
+	}
 	l.end = end
 }
 
@@ -258,6 +299,7 @@
 			mine = e.Life == l.life && e.Write == l.writes
 		}
 		l.entries[raw.Key] = e
+		l.follow(raw.Key, e.Drawn)
 	}
 	l.end = read[len(read)-1].Offset + 1
 	return mine, true, nil
--- a/internal/prepaid/size.go
+++ b/internal/prepaid/size.go
@@ -10,9 +10,13 @@
 	// somewhat above its usual outages of 5 to 9 seconds. What is held dies
 	// with the router, so more would cost more than it saves.
 	horizon = 9500 * time.Millisecond
-	// share is the part of what is left of an account that one router holds at
-	// most, so that the death of several does not take all of it along.
-	share = 0.2
+	// share is the part of what is left of an account that all routers
+	// together hold at most, so that their death does not take most of it
+	// along.
+	share = 0.35
+	// ownShare is the part of it that one router holds at most as long as it
+	// does not know how much the others use.
+	ownShare = 0.1
 	// floorShare is held of an account that has not asked here lately, so that
 	// its first requests in an outage are served.
 	floorShare = 0.015
@@ -31,6 +35,7 @@
 	free  int64   // that anybody may draw
 	hand  int64   // in this router's hand
 	rate  float64 // tokens a second used here
+	fleet float64 // tokens a second used by all routers; zero if not known
 	bound int64   // of a large recent request
 }
 
@@ -38,7 +43,11 @@
 func (s situation) target() int64 {
 	left := float64(max(s.free+s.hand, 0))
 	wanted := s.rate*horizon.Seconds() + float64(minRuns*s.bound)
-	limit := share * left
+	part := ownShare
+	if s.fleet > 0 {
+		part = share * min(s.rate/s.fleet, 1)
+	}
+	limit := part * left
 	return int64(max(min(wanted, limit), floorShare*left))
 }
 
