Loans between routers by running totals; a stopping router hands its tokens on

Change: a reply carries all that was ever lent between two lives, so the next one makes up for a lost one; more time for the release, else to a peer.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -12,11 +12,12 @@
 	// connected meanwhile.
 	leastStop = 3 * time.Second
 	// stopMargin is left of the grace period for the last steps.
-	stopMargin = 400 * time.Millisecond
+	stopMargin = 1400 * time.Millisecond
 	// activePoll is how often the stop looks for requests in progress.
 	activePoll = 50 * time.Millisecond
-	// releaseTimeout bounds giving tokens back.
-	releaseTimeout = 300 * time.Millisecond
+	// releaseTimeout bounds giving tokens back; a slow log takes some 300 ms
+	// for each call.
+	releaseTimeout = 1100 * time.Millisecond
 	// shutdownTimeout bounds closing idle connections.
 	shutdownTimeout = 100 * time.Millisecond
 )
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -46,23 +46,36 @@
 	return &Client{roster: roster, fleetKey: fleetKey, events: counter.NewSet("peers"), callee: map[string]*callee{}}
 }
 
-// Borrow implements prepaid.Peers: it asks one router after the other until
-// the wanted tokens are there.
-func (c *Client) Borrow(ctx context.Context, args prepaid.BorrowArgs) int64 {
-	var got int64
+// Borrow implements prepaid.Peers.
+func (c *Client) Borrow(ctx context.Context, args prepaid.BorrowArgs, take func(prepaid.BorrowReply) int64) {
 	for _, peer := range c.reachable() {
-		if got >= args.Want || ctx.Err() != nil {
-			break
+		if args.Want <= 0 || ctx.Err() != nil {
+			return
 		}
-		ask := args
-		ask.Want -= got
-		ask.Free += got
 		var reply prepaid.BorrowReply
-		if c.call(ctx, peer, "Lend", &ask, &reply) == nil {
-			got += max(reply.Given, 0)
+		if c.call(ctx, peer, "Lend", &args, &reply) == nil {
+			args.Free += args.Want
+			args.Want = take(reply)
+			args.Free -= args.Want
+		}
+	}
+}
+
+// Give implements prepaid.Peers. The totals are the same at each try, so a
+// router that gets them twice takes them once; but only one router may be
+// asked.
+func (c *Client) Give(ctx context.Context, args prepaid.GiveArgs) error {
+	peers := c.reachable()
+	if len(peers) == 0 {
+		return errors.New("no router can be reached")
+	}
+	for {
+		var none struct{}
+		err := c.call(ctx, peers[0], "Receive", &args, &none)
+		if err == nil || ctx.Err() != nil {
+			return err
 		}
 	}
-	return got
 }
 
 // call makes one call; a peer that does not answer is avoided for a while.
--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -5,9 +5,10 @@
 	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
-// Lender gives tokens to other routers.
+// Lender gives tokens to other routers and takes them.
 type Lender interface {
 	Lend(args prepaid.BorrowArgs) prepaid.BorrowReply
+	Receive(args prepaid.GiveArgs)
 }
 
 // Methods are what other routers call, by net/rpc.
@@ -21,12 +22,18 @@
 }
 
 // Lend hands tokens of an account over. They leave this router's hand before
-// the reply is sent; a reply that is lost loses them.
+// the reply is sent; the next reply makes up for one that is lost.
 func (m *Methods) Lend(args *prepaid.BorrowArgs, reply *prepaid.BorrowReply) error {
 	*reply = m.lender.Lend(*args)
 	return nil
 }
 
+// Receive takes over the tokens of a router that stops.
+func (m *Methods) Receive(args *prepaid.GiveArgs, _ *struct{}) error {
+	m.lender.Receive(*args)
+	return nil
+}
+
 // Ping answers the heartbeat of a connection.
 func (*Methods) Ping(*wire.PingArgs, *wire.PingReply) error {
 	return nil
--- a/internal/prepaid/hands.go
+++ b/internal/prepaid/hands.go
@@ -49,6 +49,9 @@
 	mu     sync.Mutex // guards the map; hands have their own locks
 	hands  map[string]*hand
 	loaded chan struct{} // closed once the ledger was read
+
+	given  *transfers // to other routers
+	gotten *transfers // from other routers
 }
 
 // NewHands returns empty hands. The peers may be nil.
@@ -62,6 +65,8 @@
 		kick:     make(chan struct{}, 1),
 		hands:    map[string]*hand{},
 		loaded:   make(chan struct{}),
+		given:    newTransfers(),
+		gotten:   newTransfers(),
 	}
 }
 
@@ -284,26 +289,35 @@
 	}
 }
 
-// Release gives back everything that is in hand, when the router stops.
+// Release gives back everything that is in hand, when the router stops and Run
+// has ended: to the ledger, or to another router if the ledger cannot be
+// written.
 func (g *Hands) Release(ctx context.Context) {
 	settings := g.settings()
 	if settings == nil {
 		return
 	}
 	var changes []Change
+	totals := map[string]int64{}
 	settings.Accounts(func(a *catalog.Account) {
 		if !a.Metered {
 			return
 		}
 		if tokens := g.hand(a.Name).giveUp(a.Prepaid); tokens > 0 {
 			changes = append(changes, Change{Account: a.Name, Paid: a.Prepaid, Version: settings.Version, Return: tokens})
+			totals[a.Name] = tokens
 		}
 	})
 	if len(changes) == 0 {
 		return
 	}
+	if g.ledger.Away() && g.peers != nil {
+		err := g.peers.Give(ctx, GiveArgs{Giver: g.ledger.life, Totals: totals})
+		g.log.Info().Err(err).Int("accounts", len(totals)).Msg("tokens in hand were handed to another router")
+		return // an error leaves it open whether a router has them
+	}
 	if _, err := g.ledger.Apply(ctx, changes); err != nil {
-		g.log.Warn().Err(err).Msg("tokens in hand could not be given back")
+		g.log.Warn().Err(err).Int("accounts", len(changes)).Msg("tokens in hand could not be given back")
 		return
 	}
 	g.log.Info().Int("accounts", len(changes)).Msg("tokens in hand were given back")
--- a/internal/prepaid/lend.go
+++ b/internal/prepaid/lend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 )
 
@@ -11,20 +12,69 @@
 
 // BorrowArgs asks another router for tokens of an account.
 type BorrowArgs struct {
-	Account string
-	Want    int64
-	Free    int64   // what the asking router has in hand
-	Rate    float64 // tokens a second that it uses
+	Borrower string // life of the asking router
+	Account  string
+	Want     int64
+	Free     int64   // what the asking router has in hand
+	Rate     float64 // tokens a second that it uses
 }
 
-// BorrowReply says how many tokens change hands.
+// BorrowReply says what the lender has given so far.
 type BorrowReply struct {
-	Given int64
+	Lender string // its life
+	// Total is all that this life has given to the borrower's life of the
+	// account. Since it only grows, the next reply makes up for a lost one, and
+	// a repeated one changes nothing.
+	Total int64
 }
 
-// Peers asks other routers for tokens. What it returns is this router's.
+// GiveArgs hands tokens over to another router, without being asked.
+type GiveArgs struct {
+	Giver  string           // its life
+	Totals map[string]int64 // by account, all that it has given to the receiver
+}
+
+// Peers asks other routers for tokens, and hands over what is left at a stop.
 type Peers interface {
-	Borrow(ctx context.Context, args BorrowArgs) int64
+	// Borrow asks one router after the other, and calls take with each reply
+	// until it returns false.
+	Borrow(ctx context.Context, args BorrowArgs, take func(BorrowReply) (more int64))
+	// Give hands tokens to one router. An error means that no router may have
+	// them.
+	Give(ctx context.Context, args GiveArgs) error
+}
+
+// transfers remembers totals of tokens that changed hands between two lives.
+type transfers struct {
+	mu     sync.Mutex // guards totals
+	totals map[transfer]int64
+}
+
+type transfer struct {
+	life, account string
+}
+
+func newTransfers() *transfers {
+	return &transfers{totals: map[transfer]int64{}}
+}
+
+// add adds to a total and returns it.
+func (t *transfers) add(life, account string, tokens int64) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := transfer{life, account}
+	t.totals[key] += tokens
+	return t.totals[key]
+}
+
+// raise sets a total if it is higher than before, and returns by how much.
+func (t *transfers) raise(life, account string, total int64) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := transfer{life, account}
+	gained := max(total-t.totals[key], 0)
+	t.totals[key] += gained
+	return gained
 }
 
 // Lend takes tokens out of hand for another router. While the log is away, it
@@ -45,9 +95,21 @@
 	h.free -= given
 	if given > 0 {
 		g.events.Inc("lent")
-		g.log.Info().Str("account", args.Account).Int64("tokens", given).Int64("left", h.free).Msg("tokens lent to a router")
+		g.log.Info().Str("account", args.Account).Str("router", args.Borrower).Int64("tokens", given).
+			Int64("left", h.free).Msg("tokens lent to a router")
+	}
+	return BorrowReply{Lender: g.ledger.life, Total: g.given.add(args.Borrower, args.Account, given)}
+}
+
+// Receive takes over tokens that another router hands over at its stop.
+func (g *Hands) Receive(args GiveArgs) {
+	for account, total := range args.Totals {
+		if gained := g.gotten.raise(args.Giver+"/stop", account, total); gained > 0 {
+			g.hand(account).give(gained)
+			g.log.Info().Str("account", account).Str("router", args.Giver).Int64("tokens", gained).
+				Msg("tokens received from a router that stops")
+		}
 	}
-	return BorrowReply{Given: given}
 }
 
 // borrowSpan is for how long borrowed tokens should last: a call costs little,
@@ -72,21 +134,26 @@
 	done := make(chan struct{})
 	h.borrowing = done
 	args := BorrowArgs{
-		Account: h.account,
-		Want:    tokens - h.free + int64(h.rate*borrowSpan.Seconds()),
-		Free:    h.free,
-		Rate:    h.rate,
+		Borrower: g.ledger.life,
+		Account:  h.account,
+		Want:     tokens - h.free + int64(h.rate*borrowSpan.Seconds()),
+		Free:     h.free,
+		Rate:     h.rate,
 	}
 	h.mu.Unlock()
-	got := g.peers.Borrow(ctx, args)
-	if got > 0 {
-		g.events.Inc("borrowed")
-		g.log.Info().Str("account", h.account).Int64("tokens", got).Msg("tokens borrowed")
-	}
+	want := args.Want
+	g.peers.Borrow(ctx, args, func(reply BorrowReply) int64 {
+		got := g.gotten.raise(reply.Lender, h.account, reply.Total)
+		want -= got
+		if got > 0 {
+			h.give(got)
+			g.events.Inc("borrowed")
+			g.log.Info().Str("account", h.account).Str("router", reply.Lender).Int64("tokens", got).Msg("tokens borrowed")
+		}
+		return want
+	})
 	h.mu.Lock()
-	h.free += got
 	h.borrowing = nil
-	h.wake()
 	h.mu.Unlock()
 	close(done)
 }
--- a/internal/prepaid/size.go
+++ b/internal/prepaid/size.go
@@ -10,24 +10,24 @@
 	// somewhat above its usual outages of 5 to 9 seconds. What is held dies
 	// with the router, so more would cost more than it saves.
 	horizon = 9500 * time.Millisecond
-	// share is the part of what is left of an account that all routers
-	// together hold at most, so that their death does not take most of it
-	// along.
-	share = 0.35
-	// ownShare is the part of it that one router holds at most as long as it
-	// does not know how much the others use.
-	ownShare = 0.1
+	// scarceSpan sets how the hands shrink as an account runs out: with T
+	// seconds left at the use of all routers, they hold T*T/scarceSpan seconds
+	// of use. What dies with all routers is then a small part of what is left,
+	// and the last tokens can still be used by whoever needs them.
+	scarceSpan = 70 * time.Second
+	// ownShare is the part of what is left that one router holds at most as
+	// long as it does not know how much the others use.
+	ownShare = 0.08
+	// maxShare is the part of what is left that one router holds at most.
+	maxShare = 0.3
 	// floorShare is held of an account that has not asked here lately, so that
 	// its first requests in an outage are served.
-	floorShare = 0.015
+	floorShare = 0.003
 	// lowWater is the part of the target below which a draw is due. An append
 	// costs little, so the hand stays close to the target.
 	lowWater = 0.92
 	// highWater is the part of the target above which tokens are given back.
 	highWater = 1.12
-	// minRuns is how many requests of the largest recent bound are worth
-	// holding as long as the account has much more.
-	minRuns = 1
 )
 
 // situation is what a router knows of an account when it sizes its share.
@@ -42,15 +42,23 @@
 // target returns how many tokens the router should have in hand.
 func (s situation) target() int64 {
 	left := float64(max(s.free+s.hand, 0))
-	wanted := s.rate*horizon.Seconds() + float64(minRuns*s.bound)
-	part := ownShare
+	wanted := s.rate * s.span(left).Seconds()
+	limit := ownShare * left
 	if s.fleet > 0 {
-		part = share * min(s.rate/s.fleet, 1)
+		limit = maxShare * left
 	}
-	limit := part * left
 	return int64(max(min(wanted, limit), floorShare*left))
 }
 
+// span returns for how long the tokens in hand should last.
+func (s situation) span(left float64) time.Duration {
+	if s.fleet <= 0 {
+		return horizon
+	}
+	lasts := left / s.fleet // seconds
+	return time.Duration(min(lasts*lasts/scarceSpan.Seconds(), horizon.Seconds()) * float64(time.Second))
+}
+
 // draw returns how many tokens to draw before they are needed.
 func (s situation) draw() int64 {
 	target := s.target()
