Sizes of the hands, an order for the last tokens, and 402 by proof

Callers that were told to come back in 0.4 s met the same outage again. Change: 9.5 s of use, at most 70 % of what is left over all routers; the last 3 % of an account go to small requests only; 402 as soon as the ledger and the other routers have none; Retry-After by the usual length of an outage. What binds: tokens in the hands of routers that lose power all at once cannot be told from spent ones.

--- a/internal/filter/spend/setup.go
+++ b/internal/filter/spend/setup.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/camphorlever/camphorlever/internal/filter"
@@ -11,13 +12,20 @@
 	"github.com/camphorlever/camphorlever/internal/refusal"
 )
 
-// comeBack is when a caller returns whose account's tokens are out of reach:
-// routers give back and draw every quarter of a second.
-const comeBack = 400 * time.Millisecond
+// When a caller returns whose account's tokens are out of reach.
+const (
+	// usualOutage is how long the log is away as a rule; deployments see 5 to 9
+	// seconds.
+	usualOutage = 8 * time.Second
+	// soonest is the least time, a few draws later.
+	soonest = 500 * time.Millisecond
+)
 
 // Budget holds the prepaid tokens in this router's hands.
 type Budget interface {
 	Acquire(ctx context.Context, account string, tokens int64) (*prepaid.Hold, prepaid.Outcome)
+	// Away returns for how long the log has not answered; zero if it does.
+	Away() time.Duration
 }
 
 type handler struct {
@@ -42,7 +50,7 @@
 		return filter.Refused(refusal.BudgetExhausted, refusal.NotRun, "The prepaid tokens do not cover this request.")
 	case prepaid.Unreachable:
 		out := filter.Refused(refusal.BudgetUnreachable, refusal.NotRun, "The account's tokens are not at hand now.")
-		out.Refusal.RetryAfter = comeBack
+		out.Refusal.RetryAfter = h.comeBack()
 		return out
 	}
 	p.Spending = hold
@@ -51,6 +59,16 @@
 	return out
 }
 
+// comeBack is when the log will probably answer again, spread over a second so
+// that callers do not return together.
+func (h *handler) comeBack() time.Duration {
+	away := h.budget.Away()
+	if away == 0 {
+		return soonest + rand.N(soonest)
+	}
+	return max(usualOutage-away, soonest) + rand.N(time.Second)
+}
+
 // used returns what a request consumed: its prompt once if any server may have
 // begun it, and what the caller was handed.
 func used(p *filter.Passage) int64 {
--- a/internal/prepaid/hand.go
+++ b/internal/prepaid/hand.go
@@ -13,6 +13,10 @@
 // boundDecay is how much of the largest recent bound is left after a second.
 const boundDecay = 0.97
 
+// meanWeight is how much one request counts in the mean of the bounds: some
+// fifty requests make it up, whose kinds are mixed.
+const meanWeight = 0.02
+
 // hand is the tokens of one account in this router's hand.
 type hand struct {
 	account string
@@ -26,13 +30,15 @@
 	ticked    time.Time
 	since     int64 // used since the last tick
 	bound     float64
+	mean      float64       // of the bounds of requests
+	left      int64         // in the ledger, as last seen
+	prepaid   int64         // as last seen
 	need      int64         // of the requests that wait
 	waiters   int           // how many those are
 	changed   chan struct{} // closed when tokens come
 	shortAt   time.Time     // when the ledger last showed too little for shortBy
-	shortBy   int64
+	shortBy   int64         // the least of the needs that it did not cover
 	borrowing chan struct{} // closed when the call to other routers ends; nil if there is none
-	short     time.Time     // since when it shows so without a break; zero if it does not
 }
 
 func newHand(account string) *hand {
@@ -44,7 +50,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.bound = max(h.bound, float64(tokens))
-	if h.free < tokens {
+	if h.free < tokens || keeps(h.left+h.free, h.prepaid, tokens, h.mean) {
 		return false
 	}
 	h.free -= tokens
@@ -52,6 +58,23 @@
 	return true
 }
 
+// asked takes a request's bound into the mean.
+func (h *hand) asked(tokens int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.mean == 0 {
+		h.mean = float64(tokens)
+	}
+	h.mean += meanWeight * (float64(tokens) - h.mean)
+}
+
+// kept reports whether what is left is kept for smaller requests.
+func (h *hand) kept(tokens int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return keeps(h.left+h.free, h.prepaid, tokens, h.mean)
+}
+
 // settle ends a request that had set tokens aside.
 func (h *hand) settle(tokens, used int64) {
 	used = min(max(used, 0), tokens)
@@ -69,7 +92,6 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.free += tokens
-	h.short = time.Time{}
 	h.wake()
 }
 
@@ -96,9 +118,6 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.shortAt, h.shortBy = now, need
-	if h.short.IsZero() {
-		h.short = now
-	}
 	h.wake()
 }
 
@@ -116,9 +135,10 @@
 
 // tick moves the averages on and returns the situation and the need of those
 // who wait.
-func (h *hand) tick(now time.Time) (s situation, need int64) {
+func (h *hand) tick(now time.Time, left, prepaid int64) (s situation, need int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.left, h.prepaid = left, prepaid
 	if elapsed := now.Sub(h.ticked).Seconds(); elapsed > 0 {
 		if !h.ticked.IsZero() {
 			h.average(float64(h.since), elapsed)
--- a/internal/prepaid/hands.go
+++ b/internal/prepaid/hands.go
@@ -20,9 +20,6 @@
 	waitForDraw = 350 * time.Millisecond
 	// proofAge is how long a verdict of the ledger stands without another look.
 	proofAge = 250 * time.Millisecond
-	// provenAfter is how long the ledger must have shown too little before a
-	// request is told so for good: until then other routers may give back.
-	provenAfter = time.Second
 	// bootWait is how long the controller pauses after a failed load.
 	bootWait = 100 * time.Millisecond
 )
@@ -33,8 +30,8 @@
 // Outcomes of Acquire.
 const (
 	Granted     Outcome = iota
-	Exhausted           // the account does not have them
-	Unreachable         // it is not known now, or others may still give some back
+	Exhausted           // neither the ledger nor the other routers have them
+	Unreachable         // it cannot be known now
 )
 
 // Hands is what a router holds of all accounts. It is safe for concurrent use.
@@ -70,6 +67,11 @@
 	}
 }
 
+// Away returns for how long the log has not answered; zero if it does.
+func (g *Hands) Away() time.Duration {
+	return g.ledger.AwayFor()
+}
+
 // Loaded is closed once it is known what was drawn of the accounts.
 func (g *Hands) Loaded() <-chan struct{} {
 	return g.loaded
@@ -90,22 +92,27 @@
 // waits a little for a draw, and asks other routers where a draw cannot help.
 func (g *Hands) Acquire(ctx context.Context, account string, tokens int64) (*Hold, Outcome) {
 	h := g.hand(account)
+	h.asked(tokens)
 	if h.take(tokens) {
 		return &Hold{hand: h, tokens: tokens}, Granted
 	}
+	if h.kept(tokens) && !g.ledger.Away() {
+		g.events.Inc("kept_for_small")
+		return nil, g.refused(Exhausted)
+	}
 	ctx, cancel := context.WithTimeout(ctx, waitForDraw)
 	defer cancel()
 	for {
-		outcome, known := h.proven(tokens, time.Now())
-		if g.ledger.Away() {
-			outcome, known = Unreachable, true
-		}
-		if known {
+		away := g.ledger.Away()
+		if away || h.short(tokens, time.Now()) {
 			g.borrow(ctx, h, tokens)
 			if h.take(tokens) {
 				return &Hold{hand: h, tokens: tokens}, Granted
 			}
-			return nil, g.refused(outcome)
+			if away {
+				return nil, g.refused(Unreachable)
+			}
+			return nil, g.refused(Exhausted)
 		}
 		g.await(ctx, h, tokens)
 		if h.take(tokens) {
@@ -140,17 +147,12 @@
 	return o
 }
 
-// proven returns what the ledger's last verdict means for a request.
-func (h *hand) proven(tokens int64, now time.Time) (Outcome, bool) {
+// short reports whether the ledger has lately shown that it does not have the
+// tokens that a request lacks.
+func (h *hand) short(tokens int64, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.shortAt.IsZero() || now.Sub(h.shortAt) > proofAge || tokens-h.free < h.shortBy {
-		return 0, false
-	}
-	if !h.short.IsZero() && now.Sub(h.short) >= provenAfter {
-		return Exhausted, true
-	}
-	return Unreachable, true
+	return !h.shortAt.IsZero() && now.Sub(h.shortAt) <= proofAge && tokens-h.free >= h.shortBy
 }
 
 // join adds a request to those that wait and returns what tells of new tokens.
@@ -253,8 +255,9 @@
 // look works out the change that is due for an account.
 func (g *Hands) look(a *catalog.Account, version int64) due {
 	h := g.hand(a.Name)
-	s, need := h.tick(time.Now())
-	s.free = a.Prepaid - g.ledger.Drawn(a.Name)
+	free := a.Prepaid - g.ledger.Drawn(a.Name)
+	s, need := h.tick(time.Now(), free, a.Prepaid)
+	s.free = free
 	s.fleet = g.ledger.FleetRate(a.Name)
 	d := due{hand: h, need: need, change: Change{Account: a.Name, Paid: a.Prepaid, Version: version}}
 	if need > 0 {
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -71,7 +71,7 @@
 	loaded  bool         // the same
 	writes  uint64       // the same
 
-	away atomic.Bool // the last call was not answered
+	away atomic.Pointer[time.Time] // since when appends are not answered; nil if they are
 }
 
 // NewLedger returns a ledger for one life of a router, whose name no other
@@ -255,16 +255,28 @@
 
 // Away reports whether the last append was not answered.
 func (l *Ledger) Away() bool {
-	return l.away.Load()
+	return l.away.Load() != nil
+}
+
+// AwayFor returns for how long appends have not been answered; zero if they
+// are.
+func (l *Ledger) AwayFor() time.Duration {
+	if since := l.away.Load(); since != nil {
+		return time.Since(*since)
+	}
+	return 0
 }
 
 func (l *Ledger) answered(ok bool) {
-	if l.away.Swap(!ok) == !ok {
+	if ok {
+		if since := l.away.Swap(nil); since != nil {
+			l.logger.Info().Int64("offset", int64(l.end)).Dur("after", time.Since(*since)).
+				Msg("budget entries can be written again")
+		}
 		return
 	}
-	if ok {
-		l.logger.Info().Int64("offset", int64(l.end)).Msg("budget entries can be written again")
-	} else {
+	now := time.Now()
+	if l.away.CompareAndSwap(nil, &now) {
 		l.logger.Warn().Int64("offset", int64(l.end)).Msg("budget entries cannot be written, tokens in hand are spent on")
 	}
 }
--- a/internal/prepaid/size.go
+++ b/internal/prepaid/size.go
@@ -10,16 +10,12 @@
 	// somewhat above its usual outages of 5 to 9 seconds. What is held dies
 	// with the router, so more would cost more than it saves.
 	horizon = 9500 * time.Millisecond
-	// scarceSpan sets how the hands shrink as an account runs out: with T
-	// seconds left at the use of all routers, they hold T*T/scarceSpan seconds
-	// of use. What dies with all routers is then a small part of what is left,
-	// and the last tokens can still be used by whoever needs them.
-	scarceSpan = 70 * time.Second
 	// ownShare is the part of what is left that one router holds at most as
 	// long as it does not know how much the others use.
 	ownShare = 0.08
-	// maxShare is the part of what is left that one router holds at most.
-	maxShare = 0.3
+	// fleetShare is the part of what is left that all routers together hold at
+	// most; each holds of it what it uses of the account.
+	fleetShare = 0.7
 	// floorShare is held of an account that has not asked here lately, so that
 	// its first requests in an outage are served.
 	floorShare = 0.003
@@ -30,6 +26,23 @@
 	highWater = 1.12
 )
 
+// Order in which an account that runs out is used. It answers a load in which
+// few requests take most of the tokens: what is left then serves many more
+// callers if it goes to the small ones.
+const (
+	// keptShare is the part of the prepaid tokens that is kept for small
+	// requests.
+	keptShare = 0.03
+	// smallShare of the account's mean request is the most that is small.
+	smallShare = 0.5
+)
+
+// keeps reports whether a request is refused so that smaller ones can be served
+// with what is left.
+func keeps(left, prepaid, tokens int64, mean float64) bool {
+	return float64(left) < keptShare*float64(prepaid) && float64(tokens) > smallShare*mean
+}
+
 // situation is what a router knows of an account when it sizes its share.
 type situation struct {
 	free  int64   // that anybody may draw
@@ -42,21 +55,11 @@
 // target returns how many tokens the router should have in hand.
 func (s situation) target() int64 {
 	left := float64(max(s.free+s.hand, 0))
-	wanted := s.rate * s.span(left).Seconds()
 	limit := ownShare * left
 	if s.fleet > 0 {
-		limit = maxShare * left
-	}
-	return int64(max(min(wanted, limit), floorShare*left))
-}
-
-// span returns for how long the tokens in hand should last.
-func (s situation) span(left float64) time.Duration {
-	if s.fleet <= 0 {
-		return horizon
+		limit = fleetShare * min(s.rate/s.fleet, 1) * left
 	}
-	lasts := left / s.fleet // seconds
-	return time.Duration(min(lasts*lasts/scarceSpan.Seconds(), horizon.Seconds()) * float64(time.Second))
+	return int64(max(min(s.rate*horizon.Seconds(), limit), floorShare*left))
 }
 
 // draw returns how many tokens to draw before they are needed.
