A budget counts as exhausted only after a fresh read of the ledger

Cause: a router took its last view of an account for the truth: once others had given tokens back it still saw none and answered 402 until an append of its own happened to conflict. Found by TestDrawsNeverExceedWhatWasPaid, seen failing (expected 10, got 0). Change: a change that is given less than it asks for is worked out again on a fresh read. Before the use of an account is known, a router holds 4 % of it.

--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -156,14 +156,26 @@
 
 // Apply makes changes in one append. It goes on until it is known what became
 // of the append or ctx ends. The results are in the order of the changes.
+//
+// That an account has too few tokens is concluded only from a fresh read: other
+// routers may have given some back.
 func (l *Ledger) Apply(ctx context.Context, changes []Change) ([]Result, error) {
+	fresh := false
 	for {
 		if !l.loaded {
 			if err := l.Load(ctx); err != nil {
 				return nil, err
 			}
+			fresh = true
 		}
 		results, entries := l.plan(changes)
+		if !fresh && lacking(changes, results) {
+			if err := l.refresh(ctx); err != nil {
+				return nil, err
+			}
+			fresh = true
+			continue
+		}
 		if len(entries) == 0 {
 			return results, nil
 		}
@@ -175,7 +187,29 @@
 			return results, nil
 		}
 		l.events.Inc("conflicts")
+		fresh = true
+	}
+}
+
+// lacking reports whether some change was given less than it asked for.
+func lacking(changes []Change, results []Result) bool {
+	for i, c := range changes {
+		if results[i].Given < c.Draw {
+			return true
+		}
+	}
+	return false
+}
+
+// refresh reads what others have written.
+func (l *Ledger) refresh(ctx context.Context) error {
+	l.events.Inc("refreshes")
+	_, _, err := l.readBack(ctx, l.end)
+	l.answered(err == nil || errors.Is(err, logservice.ErrTrimmed))
+	if errors.Is(err, logservice.ErrTrimmed) {
+		return l.Load(ctx)
 	}
+	return err
 }
 
 // plan works out the results of changes if they took effect now.
--- a/internal/prepaid/size.go
+++ b/internal/prepaid/size.go
@@ -10,9 +10,10 @@
 	// somewhat above its usual outages of 5 to 9 seconds. What is held dies
 	// with the router, so more would cost more than it saves.
 	horizon = 9500 * time.Millisecond
-	// ownShare is the part of what is left that one router holds at most as
-	// long as it does not know how much the others use.
-	ownShare = 0.08
+	// firstShare is the part of what is left that one router holds before it is
+	// known how fast the account is used: an outage may come right after the
+	// start.
+	firstShare = 0.04
 	// fleetShare is the part of what is left that all routers together hold at
 	// most; each holds of it what it uses of the account.
 	fleetShare = 0.7
@@ -55,11 +56,12 @@
 // target returns how many tokens the router should have in hand.
 func (s situation) target() int64 {
 	left := float64(max(s.free+s.hand, 0))
-	limit := ownShare * left
-	if s.fleet > 0 {
-		limit = fleetShare * min(s.rate/s.fleet, 1) * left
+	wanted := s.rate * horizon.Seconds()
+	if s.fleet <= 0 {
+		return int64(min(max(wanted, firstShare*left), 2*firstShare*left))
 	}
-	return int64(max(min(s.rate*horizon.Seconds(), limit), floorShare*left))
+	limit := fleetShare * min(s.rate/s.fleet, 1) * left
+	return int64(max(min(wanted, limit), floorShare*left))
 }
 
 // draw returns how many tokens to draw before they are needed.
