--- /dev/null
+++ b/internal/watch/watch_test.go
@@ -0,0 +1,262 @@
+package watch
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/logservice"
+)
+
+// fakeLog holds one stream; calls can hang, fail or find the stream trimmed.
+type fakeLog struct {
+	mu      sync.Mutex
+	entries []logservice.KeyedEntry
+	first   ident.Offset
+	silent  bool // calls are never answered
+	down    bool // calls fail at once
+	reads   int
+	added   chan struct{}
+}
+
+func newFakeLog() *fakeLog { return &fakeLog{added: make(chan struct{})} }
+
+func (l *fakeLog) add(key, value string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := logservice.KeyedEntry{Key: key, Offset: ident.Offset(len(l.entries))}
+	if value != "" {
+		e.Value = []byte(value)
+	}
+	l.entries = append(l.entries, e)
+	close(l.added)
+	l.added = make(chan struct{})
+}
+
+func (l *fakeLog) set(change func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change()
+}
+
+func (l *fakeLog) answer(ctx context.Context) error {
+	l.mu.Lock()
+	silent, down := l.silent, l.down
+	l.reads++
+	l.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return logservice.Unavailable(ctx.Err())
+	}
+	if down {
+		return logservice.ErrUnavailable
+	}
+	return nil
+}
+
+func (l *fakeLog) Newest(ctx context.Context, _ logservice.Stream) ([]logservice.KeyedEntry, ident.Offset, error) {
+	if err := l.answer(ctx); err != nil {
+		return nil, 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	newest := map[string]logservice.KeyedEntry{}
+	for _, e := range l.entries {
+		newest[e.Key] = e
+	}
+	var list []logservice.KeyedEntry
+	for _, e := range newest {
+		if e.Value != nil {
+			list = append(list, e)
+		}
+	}
+	return list, ident.Offset(len(l.entries)), nil
+}
+
+func (l *fakeLog) ReadKeyed(ctx context.Context, _ logservice.Stream, from ident.Offset, wait time.Duration) ([]logservice.KeyedEntry, ident.Offset, error) {
+	if err := l.answer(ctx); err != nil {
+		return nil, 0, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		l.mu.Lock()
+		if from < l.first {
+			l.mu.Unlock()
+			return nil, 0, logservice.ErrTrimmed
+		}
+		if int(from) < len(l.entries) {
+			list, end := append([]logservice.KeyedEntry(nil), l.entries[from:]...), ident.Offset(len(l.entries))
+			l.mu.Unlock()
+			return list, end, nil
+		}
+		added := l.added
+		l.mu.Unlock()
+		select {
+		case <-added:
+		case <-timer.C:
+			return nil, from, nil
+		case <-ctx.Done():
+			return nil, 0, logservice.Unavailable(ctx.Err())
+		}
+	}
+}
+
+// state is a sink that holds the newest values.
+type state struct {
+	mu        sync.Mutex
+	values    map[string]string
+	reachable bool
+}
+
+func (s *state) Reset(entries []logservice.KeyedEntry) {
+	s.mu.Lock()
+	s.values = map[string]string{}
+	s.mu.Unlock()
+	s.Apply(entries)
+}
+
+func (s *state) Apply(entries []logservice.KeyedEntry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range entries {
+		if e.Value == nil {
+			delete(s.values, e.Key)
+			continue
+		}
+		s.values[e.Key] = string(e.Value)
+	}
+}
+
+func (s *state) Reachable(ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reachable = ok
+}
+
+func (s *state) seesTheLog() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reachable
+}
+
+func (s *state) get(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.values[key]
+}
+
+var pace = Pace{Gap: 100 * time.Millisecond, Hold: 900 * time.Millisecond}
+
+func play(t *testing.T, test func(t *testing.T, log *fakeLog, s *state, w *Watcher)) {
+	synctest.Test(t, func(t *testing.T) {
+		log, s := newFakeLog(), &state{}
+		log.add("a", "1")
+		w := New(log, "stream", s, pace, zerolog.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go w.Run(ctx)
+		synctest.Wait()
+		test(t, log, s, w)
+	})
+}
+
+// inForce is the bound that deployments set for a change to be in force.
+const inForce = 2 * time.Second
+
+func TestFollowsTheStream(t *testing.T) {
+	play(t, func(t *testing.T, log *fakeLog, s *state, _ *Watcher) {
+		require.Equal(t, "1", s.get("a"))
+		log.add("a", "2")
+		log.add("b", "3")
+		time.Sleep(pace.Gap + time.Millisecond)
+		require.Equal(t, "2", s.get("a"))
+		require.Equal(t, "3", s.get("b"))
+		log.add("b", "")
+		time.Sleep(2 * pace.Gap)
+		require.Empty(t, s.get("b"))
+	})
+}
+
+func TestSilentConnectionIsLeftInTime(t *testing.T) {
+	play(t, func(t *testing.T, log *fakeLog, s *state, _ *Watcher) {
+		time.Sleep(50 * time.Millisecond)
+		log.set(func() { log.silent = true })
+		time.Sleep(3 * time.Second)
+		log.add("a", "2")
+		log.set(func() { log.silent = false })
+		time.Sleep(inForce)
+		require.Equal(t, "2", s.get("a"))
+	})
+}
+
+func TestStateStaysWhileTheLogIsAway(t *testing.T) {
+	play(t, func(t *testing.T, log *fakeLog, s *state, w *Watcher) {
+		time.Sleep(time.Second)
+		log.set(func() { log.down = true })
+		time.Sleep(10 * time.Second)
+		require.Equal(t, "1", s.get("a"))
+		require.False(t, s.seesTheLog())
+		require.Greater(t, time.Since(w.Contact()), 8*time.Second)
+		log.add("a", "2")
+		log.set(func() { log.down = false })
+		time.Sleep(longestPause + pace.Gap)
+		require.Equal(t, "2", s.get("a"))
+		require.True(t, s.seesTheLog())
+	})
+}
+
+func TestTrimmedHistoryIsMadeUpFor(t *testing.T) {
+	play(t, func(t *testing.T, log *fakeLog, s *state, _ *Watcher) {
+		log.set(func() { log.down = true })
+		time.Sleep(time.Second)
+		log.add("b", "2")
+		log.add("a", "")
+		log.set(func() { log.down, log.first = false, 3 })
+		time.Sleep(time.Second)
+		require.Equal(t, "2", s.get("b"))
+		require.Empty(t, s.get("a"), "it was dropped in the part that was trimmed")
+	})
+}
+
+func TestContactIsNeverLongAgo(t *testing.T) {
+	play(t, func(t *testing.T, _ *fakeLog, _ *state, w *Watcher) {
+		for range 200 {
+			time.Sleep(37 * time.Millisecond)
+			require.LessOrEqual(t, time.Since(w.Contact()), pace.Hold+pace.Gap)
+		}
+	})
+}
+
+func TestFreshReadDoesNotWaitForThePoll(t *testing.T) {
+	play(t, func(t *testing.T, log *fakeLog, s *state, w *Watcher) {
+		time.Sleep(300 * time.Millisecond)
+		begun := time.Now()
+		require.NoError(t, w.Fresh(t.Context()))
+		require.Less(t, time.Since(begun), pace.Hold/2)
+		log.set(func() { log.down = true })
+		time.Sleep(time.Millisecond)
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		require.Error(t, w.Fresh(ctx))
+	})
+}
+
+func TestCallsAreBoundedWhenManyEntriesCome(t *testing.T) {
+	play(t, func(t *testing.T, log *fakeLog, _ *state, _ *Watcher) {
+		log.set(func() { log.reads = 0 })
+		for range 1000 {
+			log.add("a", "x")
+			time.Sleep(10 * time.Millisecond)
+		}
+		log.mu.Lock()
+		defer log.mu.Unlock()
+		require.LessOrEqual(t, log.reads, 102)
+	})
+}
