A 401 is answered; late in a stop nothing new is taken; tests through whole routers

Cause: (1) TestSettingsDecideAtOnce, seen failing: the log line of a request with an unknown key read the service of a route that had not been chosen, the handler panicked and the caller's connection was closed without an answer. Change: the line leaves out what is not known, panics are logged as errors; from a third of the grace period on new requests get 503 with a short Retry-After, tokens go back at four fifths, requests in progress are cut at 0.95. Tests: TestNothingNewLateInAStop, seen failing (connection closed instead of 503), faults of workers, streams, settings, stops and budgets through a router on loopback.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -75,8 +75,9 @@
 
 // Codec translates headers at the boundary.
 type Codec interface {
-	route.Codec
 	forward.Codec
+	// Call reads what a caller's headers say.
+	Call(h http.Header) filter.Call
 	upstream.Reader
 	Refuse(h http.Header, attempt string, retryAfter time.Duration)
 }
@@ -119,7 +120,8 @@
 	outcomes  *outcomes
 
 	active   atomic.Int64 // requests in progress
-	stopping atomic.Bool
+	stopping atomic.Bool // the platform is told not to send callers
+	leaving  atomic.Bool // new requests are refused
 
 	callers *http.Server
 	inner   *http.Server
@@ -155,7 +157,7 @@
 	r.hands = prepaid.NewHands(ledger, r.settings.Current, peers.NewClient(r.roster, o.FleetKey), logger)
 	r.chain = filter.Chain(
 		recovery.New(r.log),
-		route.New(&freshSettings{r.settings}, codec),
+		route.New(&freshSettings{r.settings}),
 		spend.New(r.hands),
 		forward.New(forward.Deps{
 			Codec:   codec,
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"io"
 	stdlog "log"
 	"net/http"
@@ -16,6 +17,10 @@
 // read everything yet.
 const notReadyPause = 500 * time.Millisecond
 
+// elsewherePause is when a caller asks again that met a router which stops: the
+// next connection leads to another one.
+const elsewherePause = 50 * time.Millisecond
+
 // serve handles one request of a caller.
 func (r *Router) serve(w http.ResponseWriter, in *http.Request) {
 	r.active.Add(1)
@@ -33,13 +38,22 @@
 }
 
 func (r *Router) outcome(request *filter.Request) filter.Outcome {
-	if !r.loaded() {
-		request.Passage = &filter.Passage{Call: r.codec.Call(request.HTTP.Header)}
-		out := filter.Refused(refusal.NotReady, refusal.NotRun, "The router has not read everything yet.")
-		out.Refusal.RetryAfter = notReadyPause
-		return out
+	request.Passage = &filter.Passage{Call: r.codec.Call(request.HTTP.Header)}
+	switch {
+	case !r.loaded():
+		return later(refusal.NotReady, "The router has not read everything yet.", notReadyPause)
+	case r.leaving.Load():
+		return later(refusal.Stopping, "The router is being stopped.", elsewherePause)
+	default:
+		return r.chain(request.HTTP.Context(), request)
 	}
-	return r.chain(request.HTTP.Context(), request)
+}
+
+// later refuses a request that another router, or this one later, can serve.
+func later(code refusal.Code, message string, after time.Duration) filter.Outcome {
+	out := filter.Refused(code, refusal.NotRun, message)
+	out.Refusal.RetryAfter = after
+	return out
 }
 
 // finish answers a request that was refused. An answer that began and cannot be
@@ -87,13 +101,18 @@
 	if !event.Enabled() {
 		return
 	}
-	event = event.Str("request", p.Call.Attempt).Str("outcome", "answered")
-	if out.Refusal != nil {
-		event = event.Str("outcome", string(out.Refusal.Code)).Str("ran", string(out.Refusal.Ran)).
-			Str("why", out.Refusal.Message).Dur("retry_after", out.Refusal.RetryAfter)
+	event = event.Str("request", p.Call.Attempt)
+	if refused := out.Refusal; refused != nil {
+		event = event.Str("outcome", string(refused.Code)).Str("ran", string(refused.Ran)).
+			Str("why", refused.Message).Dur("retry_after", refused.RetryAfter)
+	} else {
+		event = event.Str("outcome", "answered")
 	}
 	if p.Route != nil {
-		event = event.Str("route", p.Route.Name).Str("service", p.Service.Name)
+		event = event.Str("route", p.Route.Name)
+	}
+	if p.Service != nil {
+		event = event.Str("service", p.Service.Name)
 	}
 	if p.Account != nil {
 		event = event.Str("account", p.Account.Name).Int64("bound", p.Call.Tokens())
@@ -122,6 +141,10 @@
 
 // Write implements io.Writer.
 func (l httpLog) Write(line []byte) (int, error) {
-	l.log.Debug().Str("text", string(line)).Msg("connection of a caller")
+	event := l.log.Debug()
+	if bytes.Contains(line, []byte("panic")) {
+		event = l.log.Error()
+	}
+	event.Str("text", string(line)).Msg("connection of a caller")
 	return len(line), nil
 }
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -2,19 +2,25 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 )
 
-// Steps of a graceful stop.
+// Steps of a graceful stop, as parts of the grace period.
 const (
-	// leastStop is how long the router serves on in any case: the platform
-	// takes it out after two questions, a second apart, and callers may have
-	// connected meanwhile.
-	leastStop = 3 * time.Second
-	// stopMargin is left of the grace period for the last steps.
-	stopMargin = 1400 * time.Millisecond
+	// servePart is how long everything is served as before. The platform takes
+	// the router out after two questions a second apart, and callers may have
+	// connected meanwhile; what comes later could be cut by the end.
+	servePart = 0.33
+	// leastPart is the least time that a stop takes.
+	leastPart = 0.38
+	// releasePart is when tokens in hand are given back though requests are
+	// still in progress.
+	releasePart = 0.8
+	// endPart is when requests in progress are cut.
+	endPart = 0.95
 	// activePoll is how often the stop looks for requests in progress.
-	activePoll = 50 * time.Millisecond
+	activePoll = 20 * time.Millisecond
 	// releaseTimeout bounds giving tokens back; a slow log takes some 300 ms
 	// for each call.
 	releaseTimeout = 1100 * time.Millisecond
@@ -22,33 +28,62 @@
 	shutdownTimeout = 100 * time.Millisecond
 )
 
-// Stop serves on until no request is in progress or the grace period is over,
-// then gives the tokens in hand back.
+// Stop serves on until no request is in progress or the grace period is nearly
+// over, and gives the tokens in hand back.
 func (r *Router) Stop() {
 	begun := time.Now()
+	at := func(part float64) time.Time {
+		return begun.Add(time.Duration(part * float64(r.options.Grace)))
+	}
 	r.stopping.Store(true)
 	r.log.Info().Int64("active", r.active.Load()).Msg("router stops")
 	r.callers.SetKeepAlivesEnabled(false)
-	limit := begun.Add(r.options.Grace - stopMargin)
-	for time.Now().Before(limit) {
-		if r.active.Load() == 0 && time.Since(begun) >= leastStop {
-			break
-		}
+	time.Sleep(time.Until(at(servePart)))
+	r.leaving.Store(true)
+	time.Sleep(time.Until(at(leastPart)))
+	r.idle(at(releasePart))
+	r.release()
+	r.idle(at(endPart))
+	shutdown, end := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer end()
+	if err := r.callers.Shutdown(shutdown); err != nil {
+		r.log.Warn().Err(err).Int64("active", r.active.Load()).Msg("requests were cut by the end of the grace period")
+	}
+	r.cancel()
+	r.log.Info().Dur("took", time.Since(begun)).Msg("router stopped")
+}
+
+// idle waits until no request is in progress, or for as long as it may.
+func (r *Router) idle(limit time.Time) {
+	for r.active.Load() > 0 && time.Now().Before(limit) {
 		time.Sleep(activePoll)
 	}
+}
+
+// release gives back what the router holds.
+func (r *Router) release() {
 	r.halt()
 	r.budget.Wait()
-	release, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	r.hands.Release(release)
-	if err := r.roster.Leave(release, r.platform); err != nil {
+	r.hands.Release(ctx)
+	if err := r.roster.Leave(ctx, r.platform); err != nil {
 		r.log.Warn().Err(err).Msg("other routers could not be told of the stop")
 	}
-	shutdown, end := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer end()
-	if err := r.callers.Shutdown(shutdown); err != nil {
-		r.log.Warn().Err(err).Int64("active", r.active.Load()).Msg("requests were cut by the end of the grace period")
-	}
+}
+
+// Active returns how many requests are in progress.
+func (r *Router) Active() int64 { return r.active.Load() }
+
+// Close ends the router at once. Nothing is given back.
+func (r *Router) Close() {
+	r.halt()
 	r.cancel()
-	r.log.Info().Dur("took", time.Since(begun)).Msg("router stopped")
+	for _, server := range []*http.Server{r.callers, r.ready, r.inner, r.metrics} {
+		if server != nil {
+			_ = server.Close() // what it still carries is cut on purpose
+		}
+	}
+	r.budget.Wait()
+	r.work.Wait()
 }
--- a/internal/filter/route/handler.go
+++ b/internal/filter/route/handler.go
@@ -33,8 +33,7 @@
 // Handle finds the route and the client account of a request and reads its
 // body.
 func (h *handler) Handle(ctx context.Context, r *filter.Request, next filter.Next) filter.Outcome {
-	p := &filter.Passage{Call: h.codec.Call(r.HTTP.Header)}
-	r.Passage = p
+	p := r.Passage
 	if out, ok := h.find(ctx, r, p); !ok {
 		return out
 	}
--- a/internal/filter/route/setup.go
+++ b/internal/filter/route/setup.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/camphorlever/camphorlever/internal/catalog"
@@ -25,18 +24,12 @@
 	Fresh(ctx context.Context) error
 }
 
-// Codec reads headers.
-type Codec interface {
-	Call(h http.Header) filter.Call
-}
-
 type handler struct {
 	settings Settings
-	codec    Codec
 	counters *counter.Set
 }
 
 // New returns the filter.
-func New(settings Settings, codec Codec) filter.Filter {
-	return &handler{settings: settings, codec: codec, counters: filter.Counters("route")}
+func New(settings Settings) filter.Filter {
+	return &handler{settings: settings, counters: filter.Counters("route")}
 }
