Late in a stop, what will end in time is still served

Change: a filter refuses a request only if 1.5 times the longest of late on its route does not fit before the end. Test: TestShortRequestsAreServedLateInAStop.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -120,8 +120,8 @@
 	outcomes  *outcomes
 
 	active   atomic.Int64 // requests in progress
-	stopping atomic.Bool // the platform is told not to send callers
-	leaving  atomic.Bool // new requests are refused
+	stopping atomic.Bool  // the platform is told not to send callers
+	lastCall *lastCall
 
 	callers *http.Server
 	inner   *http.Server
@@ -145,6 +145,7 @@
 		placer:   affinity.New(o.DataCentre),
 		pool:     upstream.NewPool(codec),
 		outcomes: newOutcomes(),
+		lastCall: newLastCall(),
 		failed:   make(chan error, 3),
 	}
 	r.settings = &published{decoder: o.Decoder, log: r.log, changed: func(*catalog.Settings) {}}
@@ -158,6 +159,7 @@
 	r.chain = filter.Chain(
 		recovery.New(r.log),
 		route.New(&freshSettings{r.settings}),
+		r.lastCall,
 		spend.New(r.hands),
 		forward.New(forward.Deps{
 			Codec:   codec,
--- /dev/null
+++ b/internal/entry/lastcall_test.go
@@ -0,0 +1,33 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/camphorlever/camphorlever/internal/catalog"
+	"github.com/camphorlever/camphorlever/internal/filter"
+)
+
+// TestShortRequestsAreServedLateInAStop plays a stop of 8 s in which callers
+// have nowhere else to go.
+func TestShortRequestsAreServedLateInAStop(t *testing.T) {
+	begun := time.Unix(1000, 0)
+	l := newLastCall()
+	for range 100 {
+		l.took("orders", 40*time.Millisecond)
+		l.took("notes", 3*time.Second)
+	}
+	l.stop(begun.Add(2600*time.Millisecond), begun.Add(7600*time.Millisecond))
+	takes := func(route string, at time.Duration) bool {
+		p := &filter.Passage{Route: &catalog.Route{Name: route}, Deadline: begun.Add(at + 5*time.Second)}
+		return l.takes(p, begun.Add(at))
+	}
+	require.True(t, takes("notes", 2500*time.Millisecond), "there is time to find another router")
+	require.True(t, takes("notes", 3*time.Second))
+	require.False(t, takes("notes", 4*time.Second), "it would be cut")
+	require.True(t, takes("orders", 7*time.Second))
+	require.False(t, takes("orders", 7590*time.Millisecond))
+	require.False(t, takes("unknown", 4*time.Second), "it may take all of its time")
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -17,10 +17,6 @@
 // read everything yet.
 const notReadyPause = 500 * time.Millisecond
 
-// elsewherePause is when a caller asks again that met a router which stops: the
-// next connection leads to another one.
-const elsewherePause = 50 * time.Millisecond
-
 // serve handles one request of a caller.
 func (r *Router) serve(w http.ResponseWriter, in *http.Request) {
 	r.active.Add(1)
@@ -39,14 +35,10 @@
 
 func (r *Router) outcome(request *filter.Request) filter.Outcome {
 	request.Passage = &filter.Passage{Call: r.codec.Call(request.HTTP.Header)}
-	switch {
-	case !r.loaded():
+	if !r.loaded() {
 		return later(refusal.NotReady, "The router has not read everything yet.", notReadyPause)
-	case r.leaving.Load():
-		return later(refusal.Stopping, "The router is being stopped.", elsewherePause)
-	default:
-		return r.chain(request.HTTP.Context(), request)
 	}
+	return r.chain(request.HTTP.Context(), request)
 }
 
 // later refuses a request that another router, or this one later, can serve.
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -8,9 +8,9 @@
 
 // Steps of a graceful stop, as parts of the grace period.
 const (
-	// servePart is how long everything is served as before. The platform takes
+	// servePart is how long everything is taken as before. The platform takes
 	// the router out after two questions a second apart, and callers may have
-	// connected meanwhile; what comes later could be cut by the end.
+	// connected meanwhile; later, only what will end in time is taken.
 	servePart = 0.33
 	// leastPart is the least time that a stop takes.
 	leastPart = 0.38
@@ -38,8 +38,7 @@
 	r.stopping.Store(true)
 	r.log.Info().Int64("active", r.active.Load()).Msg("router stops")
 	r.callers.SetKeepAlivesEnabled(false)
-	time.Sleep(time.Until(at(servePart)))
-	r.leaving.Store(true)
+	r.lastCall.stop(at(servePart), at(endPart))
 	time.Sleep(time.Until(at(leastPart)))
 	r.idle(at(releasePart))
 	r.release()
--- a/internal/prepaid/ledger_test.go
+++ b/internal/prepaid/ledger_test.go
@@ -139,7 +139,7 @@
 			l.hand, spent = l.hand-used, spent+used
 		case 4:
 			give := r.Int64N(l.hand + 1)
-			l.hand -= give // before the append: it may take effect whatever is heard of it
+			l.hand -= give                                                                          // before the append: it may take effect whatever is heard of it
 			_, _ = applyFor(l, Change{Account: "maps", Paid: paid, Version: version, Return: give}) // lost if it fails
 		case 5:
 			lost += l.hand
