--- a/internal/filter/forward/handler.go
+++ b/internal/filter/forward/handler.go
@@ -175,6 +175,12 @@
 func (run *passage) end(ctx context.Context, r result) filter.Outcome {
 	p := run.passage
 	switch {
+	case errors.Is(r.cause, errCallerGone):
+		ran := refusal.NotRun
+		if p.MayHaveRun {
+			ran = refusal.Unknown
+		}
+		return filter.Refused(refusal.CallerGone, ran, "The caller has left.")
 	case r.verdict == failedByRun && !run.request.Writer.Started():
 		return run.give(r.answer)
 	case run.request.Writer.Started():
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -42,6 +42,7 @@
 	RetryBudgetSpent   Code = "retry_budget_spent"
 	ConflictingVersion Code = "conflicting_version" // settings changed since they were read
 	NotFound           Code = "not_found"
+	CallerGone         Code = "caller_gone" // nobody is there to be answered
 	Internal           Code = "internal"
 )
 
