--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -65,6 +65,7 @@
 	// all candidates.
 	InFlight int
 	Mean     float64
+	Suspect  bool // it has failed lately, and so have all others
 
 	placer *Placer
 	node   *node
@@ -87,7 +88,10 @@
 	} else {
 		best = preferred(candidates, q.Key, loadBound*mean+loadSlack)
 	}
-	placed := &Placed{Server: best.server, InFlight: best.node.inFlight, Mean: mean, placer: p, node: best.node}
+	placed := &Placed{
+		Server: best.server, InFlight: best.node.inFlight, Mean: mean, Suspect: now.Before(best.node.suspect),
+		placer: p, node: best.node,
+	}
 	best.node.inFlight++
 	return placed, true
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -62,7 +62,7 @@
 // is not urgent.
 var (
 	settingsPace = watch.Pace{Gap: 100 * time.Millisecond, Hold: 900 * time.Millisecond}
-	serversPace  = watch.Pace{Gap: 300 * time.Millisecond, Hold: 900 * time.Millisecond}
+	serversPace  = watch.Pace{Gap: 500 * time.Millisecond, Hold: 900 * time.Millisecond}
 	routersPace  = watch.Pace{Gap: time.Second, Hold: 10 * time.Second}
 )
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/camphorlever/camphorlever/internal/filter"
@@ -80,40 +81,36 @@
 	return http.StatusBadGateway
 }
 
-// logEnd writes one line for each request: complete for those that went wrong
-// or came late.
+// sampled is one in how many requests that went well is logged in full.
+const sampled = 100
+
+// logEnd writes the request's decisions and its end: all of them for a request
+// that was refused, failed or came late, and for one in sampled others, chosen
+// by its id so that all routers choose the same.
 func (r *Router) logEnd(request *filter.Request, out filter.Outcome) {
 	p := request.Passage
 	took := time.Since(request.Received)
-	event := r.log.Debug()
 	late := p.Route != nil && p.Route.Objective > 0 && firstAnswer(p, took) > p.Route.Objective
-	if out.Refusal != nil || late {
-		event = r.log.Info()
-	}
-	if !event.Enabled() {
+	if out.Refusal == nil && !late && xxhash.Sum64String(p.Call.Attempt)%sampled != 0 {
 		return
 	}
-	event = event.Str("request", p.Call.Attempt)
-	if refused := out.Refusal; refused != nil {
-		event = event.Str("outcome", string(refused.Code)).Str("ran", string(refused.Ran)).
+	for _, step := range request.Trail {
+		event := r.log.Info().Str("request", p.Call.Attempt).Dur("at", step.At)
+		step.Inputs(event)
+		event.Msg(step.Decision)
+	}
+	event := r.log.Info().Str("request", p.Call.Attempt).Dur("at", took)
+	switch refused := out.Refusal; {
+	case refused != nil:
+		event = event.Str("outcome", string(refused.Code)).Int("status", status(refused)).Str("ran", string(refused.Ran)).
 			Str("why", refused.Message).Dur("retry_after", refused.RetryAfter)
-	} else {
+	case late:
+		event = event.Str("outcome", "late")
+	default:
 		event = event.Str("outcome", "answered")
 	}
-	if p.Route != nil {
-		event = event.Str("route", p.Route.Name)
-	}
-	if p.Service != nil {
-		event = event.Str("service", p.Service.Name)
-	}
-	if p.Account != nil {
-		event = event.Str("account", p.Account.Name).Int64("bound", p.Call.Tokens())
-	}
-	if p.Settings != nil {
-		event = event.Int64("settings", p.Settings.Version).Dur("settings_age", time.Since(r.settings.Contact()))
-	}
-	event.Str("server", p.Server.ID).Int("sends", p.Sends).Int64("events", p.Delivered).
-		Dur("first_event", p.FirstEvent).Dur("took", took).Msg("request ended")
+	event.Int("status_sent", request.Writer.Status).Str("server", p.Server.ID).Int("sends", p.Sends).
+		Int64("events", p.Delivered).Dur("first_event", p.FirstEvent).Msg("request ended")
 }
 
 // firstAnswer is the time that an objective is measured by.
--- a/internal/filter/forward/handler.go
+++ b/internal/filter/forward/handler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/camphorlever/camphorlever/internal/affinity"
 	"github.com/camphorlever/camphorlever/internal/catalog"
@@ -60,9 +61,10 @@
 			return run.noServer()
 		}
 		p.Server = placed.Server
+		run.notePlaced(placed)
 		result := run.attempt(ctx, placed)
 		placed.Done()
-		h.note(r, placed, result)
+		run.noteEnd(ctx, placed, result)
 		if result.verdict == delivered {
 			return filter.Answered()
 		}
@@ -100,40 +102,49 @@
 
 // again reports whether the request may go to another server.
 func (run *passage) again(ctx context.Context, r result, allow func() bool) bool {
-	p := run.passage
-	run.tried = append(run.tried, p.Server.ID)
-	if ctx.Err() != nil || time.Until(p.Deadline) < leastLeft {
-		return false
-	}
-	if r.verdict == unsent {
-		run.unsent++
-		return run.unsent < maxUnsent
-	}
-	if p.Sends >= p.Route.Attempts {
-		return false
-	}
-	switch r.verdict {
-	case notExecuted:
-	case failed, failedByRun:
-		if !p.Route.Repeats() {
-			return false
-		}
-	case cutOff:
-		if !p.Route.Resumable || run.lastEvent == "" {
-			return false
-		}
-	}
-	if !run.another() {
-		return false
+	run.tried = append(run.tried, run.passage.Server.ID)
+	why := run.obstacle(ctx, r)
+	if why == "" && r.verdict != unsent && !allow() {
+		why = "retry_budget_spent"
 	}
-	if !allow() {
-		run.handler.counters.Inc("retry_budget_spent")
+	if why != "" {
+		run.handler.counters.Inc("no_retry_" + why)
+		run.request.Note("no retry", func(e *zerolog.Event) { e.Str("reason", why) })
 		return false
 	}
 	run.handler.counters.Inc("retry_" + names[r.verdict])
+	run.request.Note("retry", func(e *zerolog.Event) { e.Str("reason", names[r.verdict]) })
 	return true
 }
 
+// obstacle returns why a request must not go to another server, nothing if it
+// may.
+func (run *passage) obstacle(ctx context.Context, r result) string {
+	p := run.passage
+	switch {
+	case errors.Is(r.cause, errCallerGone):
+		return "caller_gone"
+	case ctx.Err() != nil || time.Until(p.Deadline) < leastLeft:
+		return "deadline"
+	case r.verdict == unsent:
+		run.unsent++
+		if run.unsent >= maxUnsent {
+			return "unreachable"
+		}
+		return ""
+	case p.Sends >= p.Route.Attempts:
+		return "attempts_spent"
+	case r.verdict == cutOff && (!p.Route.Resumable || run.lastEvent == ""):
+		return "answer_began"
+	case (r.verdict == failed || r.verdict == failedByRun) && !p.Route.Repeats():
+		return "may_have_run"
+	case !run.another():
+		return "no_other_server"
+	default:
+		return ""
+	}
+}
+
 // another reports whether there is a server that was not tried.
 func (run *passage) another() bool {
 	for _, s := range run.handler.Servers.Of(run.passage.Service.Name) {
@@ -210,24 +221,37 @@
 	return out
 }
 
-// note logs how an attempt ended and lets the placement learn from it.
-func (h *handler) note(r *filter.Request, placed *affinity.Placed, result result) {
-	p := r.Passage
+// notePlaced records the choice of a server with what it was decided by. What a
+// router knows of its own requests is never old.
+func (run *passage) notePlaced(placed *affinity.Placed) {
+	key := cacheKey(run.passage)
+	candidates := len(run.handler.Servers.Of(run.passage.Service.Name))
+	run.request.Note("server chosen", func(e *zerolog.Event) {
+		e.Str("server", placed.Server.ID).Str("address", placed.Server.Address).Int64("entry", placed.Server.Sequence).
+			Str("cache_key", key).Int("in_flight", placed.InFlight).Float64("mean", placed.Mean).
+			Int("candidates", candidates).Bool("suspect", placed.Suspect)
+	})
+}
+
+// noteEnd records how an attempt ended and lets the placement learn from it.
+func (run *passage) noteEnd(ctx context.Context, placed *affinity.Placed, result result) {
+	p := run.passage
 	p.Ended = names[result.verdict]
-	h.counters.Inc("attempt_" + p.Ended)
-	switch result.verdict {
-	case delivered, failedByRun:
+	run.handler.counters.Inc("attempt_" + p.Ended)
+	var avoided time.Duration
+	switch {
+	case result.verdict == delivered || result.verdict == failedByRun:
 		placed.Answered()
-		return
-	}
-	event := h.Log.Info().Str("request", p.Call.Attempt).Str("server", placed.Server.ID).
-		Str("address", placed.Server.Address).Int("in_flight", placed.InFlight).Float64("mean", placed.Mean).
-		Int64("settings", p.Settings.Version).Str("outcome", p.Ended).AnErr("cause", result.cause).
-		Dur("age", time.Since(r.Received))
-	if result.verdict != notExecuted && !errors.Is(result.cause, errCallerGone) && time.Now().Before(p.Deadline) {
-		event = event.Dur("avoided", placed.Failed())
+	case result.verdict != notExecuted && ctx.Err() == nil && !errors.Is(result.cause, errCallerGone):
+		avoided = placed.Failed()
+		run.handler.Log.Info().Str("server", placed.Server.ID).Str("address", placed.Server.Address).
+			Dur("avoided", avoided).AnErr("cause", result.cause).Msg("server is suspect")
 	}
-	event.Msg("attempt ended")
+	sends, events := p.Sends, p.Delivered
+	run.request.Note("attempt ended", func(e *zerolog.Event) {
+		e.Str("server", placed.Server.ID).Str("outcome", names[result.verdict]).AnErr("cause", result.cause).
+			Int("sends", sends).Int64("events", events).Dur("avoided", avoided)
+	})
 }
 
 var errCallerGone = errors.New("caller is gone")
--- a/internal/filter/request.go
+++ b/internal/filter/request.go
@@ -75,6 +75,7 @@
 	// Passage is set on requests that are passed on as they came; the fields
 	// above from Caller on stay empty then.
 	Passage *Passage
+	Trail   []Step // decisions on it so far
 
 	// Contested means that an earlier attempt may have run somewhere.
 	Contested bool
--- a/internal/filter/route/handler.go
+++ b/internal/filter/route/handler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/camphorlever/camphorlever/internal/catalog"
 	"github.com/camphorlever/camphorlever/internal/filter"
@@ -45,6 +46,12 @@
 		limit = min(limit, p.Call.Wait)
 	}
 	p.Deadline = r.Received.Add(limit)
+	r.Note("route chosen", func(e *zerolog.Event) {
+		e.Str("route", p.Route.Name).Str("service", p.Service.Name).Int64("settings", p.Settings.Version).Dur("limit", limit)
+		if p.Account != nil {
+			e.Str("account", p.Account.Name)
+		}
+	})
 	if out, ok := h.read(r, p); !ok {
 		return out
 	}
@@ -66,6 +73,8 @@
 		defer cancel()
 		if err := h.settings.Fresh(ask); err != nil {
 			h.counters.Inc("settings_unsure")
+			age := time.Since(known)
+			r.Note("settings may be old", func(e *zerolog.Event) { e.Dur("settings_age", age).AnErr("cause", err) })
 			out := filter.Refused(refusal.NotReady, refusal.NotRun, "The newest settings cannot be read.")
 			out.Refusal.RetryAfter = askLater
 			return out, false
@@ -75,6 +84,13 @@
 		}
 	}
 	h.counters.Inc(string(code))
+	age := time.Since(h.settings.Contact())
+	r.Note("no route or key", func(e *zerolog.Event) {
+		e.Str("host", r.HTTP.Host).Str("path", r.HTTP.URL.EscapedPath()).Dur("settings_age", age)
+		if p.Settings != nil {
+			e.Int64("settings", p.Settings.Version)
+		}
+	})
 	return filter.Refused(code, refusal.NotRun, messages[code]), false
 }
 
--- a/internal/filter/spend/setup.go
+++ b/internal/filter/spend/setup.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/camphorlever/camphorlever/internal/filter"
 	"github.com/camphorlever/camphorlever/internal/prepaid"
 	"github.com/camphorlever/camphorlever/internal/refusal"
@@ -26,6 +28,8 @@
 	Acquire(ctx context.Context, account string, tokens int64) (*prepaid.Hold, prepaid.Outcome)
 	// Away returns for how long the log has not answered; zero if it does.
 	Away() time.Duration
+	// View returns what the router knows of an account.
+	View(account string) prepaid.View
 }
 
 type handler struct {
@@ -44,7 +48,9 @@
 	if p.Account == nil || !p.Account.Metered || p.Call.Tokens() <= 0 {
 		return next(ctx, r)
 	}
+	begun := time.Now()
 	hold, outcome := h.budget.Acquire(ctx, p.Account.Name, p.Call.Tokens())
+	h.note(r, outcome, time.Since(begun))
 	switch outcome {
 	case prepaid.Exhausted:
 		return filter.Refused(refusal.BudgetExhausted, refusal.NotRun, "The prepaid tokens do not cover this request.")
@@ -59,6 +65,15 @@
 	return out
 }
 
+// note records the admission with what it was decided by.
+func (h *handler) note(r *filter.Request, outcome prepaid.Outcome, waited time.Duration) {
+	p, view := r.Passage, h.budget.View(r.Passage.Account.Name)
+	r.Note("tokens "+outcome.String(), func(e *zerolog.Event) {
+		e.Str("account", p.Account.Name).Int64("bound", p.Call.Tokens()).Int64("hand", view.Hand).Int64("ledger", view.Ledger).
+			Dur("ledger_age", view.Age).Dur("log_away", view.Away).Int64("settings", p.Settings.Version).Dur("waited", waited)
+	})
+}
+
 // comeBack is when the log will probably answer again, spread over a second so
 // that callers do not return together.
 func (h *handler) comeBack() time.Duration {
--- a/internal/prepaid/hand.go
+++ b/internal/prepaid/hand.go
@@ -33,6 +33,7 @@
 	mean      float64       // of the bounds of requests
 	left      int64         // in the ledger, as last seen
 	prepaid   int64         // as last seen
+	seen      time.Time     // when the ledger was read for left
 	need      int64         // of the requests that wait
 	waiters   int           // how many those are
 	changed   chan struct{} // closed when tokens come
@@ -121,6 +122,13 @@
 	h.wake()
 }
 
+// saw notes when the ledger was read last.
+func (h *hand) saw(read time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.seen = read
+}
+
 // average takes the use of some seconds into the rate. As long as the account
 // has not been used for rateSpan, the rate is the mean over that time.
 func (h *hand) average(used, elapsed float64) {
--- a/internal/prepaid/hands.go
+++ b/internal/prepaid/hands.go
@@ -34,6 +34,27 @@
 	Unreachable         // it cannot be known now
 )
 
+// String names the outcome for logs.
+func (o Outcome) String() string {
+	return [...]string{"granted", "exhausted", "unreachable"}[o]
+}
+
+// View is what a router knows of an account.
+type View struct {
+	Hand   int64         // free in this router's hand
+	Ledger int64         // left for anybody to draw, as last read
+	Age    time.Duration // of that
+	Away   time.Duration // for which the log has not answered; zero if it does
+}
+
+// View returns what the router knows of an account.
+func (g *Hands) View(account string) View {
+	h := g.hand(account)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return View{Hand: h.free, Ledger: h.left, Age: time.Since(h.seen), Away: g.ledger.AwayFor()}
+}
+
 // Hands is what a router holds of all accounts. It is safe for concurrent use.
 type Hands struct {
 	ledger   *Ledger
@@ -255,8 +276,10 @@
 // look works out the change that is due for an account.
 func (g *Hands) look(a *catalog.Account, version int64) due {
 	h := g.hand(a.Name)
-	free := a.Prepaid - g.ledger.Drawn(a.Name)
+	drawn, read := g.ledger.Drawn(a.Name)
+	free := a.Prepaid - drawn
 	s, need := h.tick(time.Now(), free, a.Prepaid)
+	h.saw(read)
 	s.free = free
 	s.fleet = g.ledger.FleetRate(a.Name)
 	d := due{hand: h, need: need, change: Change{Account: a.Name, Paid: a.Prepaid, Version: version}}
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -64,9 +64,10 @@
 	logger zerolog.Logger
 	events *counter.Set
 
-	mu      sync.Mutex // guards entries and drains; only the caller of Apply changes them
+	mu      sync.Mutex // guards entries, drains and read; only the caller of Apply changes them
 	entries map[string]entry
 	drains  map[string]*drain
+	read    time.Time    // when the entries were the newest
 	end     ident.Offset // up to which the entries are known; only Apply's caller uses it
 	loaded  bool         // the same
 	writes  uint64       // the same
@@ -105,17 +106,17 @@
 		entries[raw.Key] = e
 	}
 	l.mu.Lock()
-	l.entries = entries
+	l.entries, l.read = entries, time.Now()
 	l.mu.Unlock()
 	l.end, l.loaded = end, true
 	return nil
 }
 
-// Drawn returns how much of an account was drawn, as last read.
-func (l *Ledger) Drawn(account string) int64 {
+// Drawn returns how much of an account was drawn, and when that was read.
+func (l *Ledger) Drawn(account string) (int64, time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.entries[account].Drawn
+	return l.entries[account].Drawn, l.read
 }
 
 // FleetRate returns how many tokens a second all routers use of an account, as
@@ -322,7 +323,7 @@
 	for account, e := range planned {
 		l.follow(account, e.Drawn)
 	}
-	l.end = end
+	l.end, l.read = end, time.Now()
 }
 
 // readBack reads what stands at the offset and after, and reports whether it is
@@ -330,12 +331,17 @@
 func (l *Ledger) readBack(ctx context.Context, at ident.Offset) (mine, known bool, err error) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	asked := time.Now()
 	read, _, err := l.log.ReadKeyed(call, l.stream, at, 0)
-	if err != nil || len(read) == 0 {
+	if err != nil {
 		return false, false, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.read = asked
+	if len(read) == 0 {
+		return false, false, nil
+	}
 	for i, raw := range read {
 		e, err := decode(raw)
 		if err != nil {
