A large page over a slow link is read; unknown requests are not held while the log is away

Requests for unknown routes waited 500 ms each for a fresh read of a log known to be away. Tests: TestSlowReplyIsGivenMoreTime and TestFreshReadIsNotWaitedForWhileTheLogIsAway, both seen failing.

--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -51,6 +51,9 @@
 const (
 	// callTimeout bounds one call; a slow log takes some 300 ms for each.
 	callTimeout = 900 * time.Millisecond
+	// loadTimeout bounds reading the entries of all accounts: some megabytes
+	// over a slow link.
+	loadTimeout = 10 * time.Second
 	// retryPause is between two calls that failed.
 	retryPause = 100 * time.Millisecond
 )
@@ -91,7 +94,7 @@
 
 // Load reads the entries of all accounts.
 func (l *Ledger) Load(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
+	call, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	newest, end, err := l.log.Newest(call, l.stream)
 	if err != nil {
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -37,6 +37,9 @@
 	// replyTimeout is how long a reply may take beyond the wait; a slow log
 	// takes some 300 ms.
 	replyTimeout = 700 * time.Millisecond
+	// longestReply is up to which time a reply is waited for after failures: a
+	// page after an outage can be large for a slow link.
+	longestReply = 8 * replyTimeout
 	// firstPause and longestPause bound the pause after a failure. The longest
 	// stays well below the time in which settings come into force.
 	firstPause   = 60 * time.Millisecond
@@ -67,6 +70,7 @@
 
 	mu      sync.Mutex // guards all below
 	contact time.Time  // when the newest answered call began
+	away    bool       // the last call failed
 	asked   bool       // somebody waits for a fresh read
 	changed chan struct{}
 	abort   context.CancelFunc // ends the poll in progress
@@ -92,8 +96,11 @@
 	return w.contact
 }
 
-// Fresh waits until everything added before now is known. It fails when ctx
-// ends first.
+// ErrAway means that the log does not answer.
+var ErrAway = errors.New("log does not answer")
+
+// Fresh waits until everything added before now is known. It fails with ErrAway
+// if the last call to the log failed, and when ctx ends first.
 func (w *Watcher) Fresh(ctx context.Context) error {
 	since := time.Now()
 	for {
@@ -102,6 +109,10 @@
 			w.mu.Unlock()
 			return nil
 		}
+		if w.away {
+			w.mu.Unlock()
+			return errors.Wrapf(ErrAway, "stream %s", w.stream)
+		}
 		changed := w.changed
 		if !w.asked {
 			w.asked = true
@@ -159,7 +170,7 @@
 		wait = 0
 		w.asked = false
 	}
-	call, cancel := context.WithTimeout(ctx, wait+replyTimeout)
+	call, cancel := context.WithTimeout(ctx, wait+min(replyTimeout<<min(failures, 10), longestReply))
 	interruptible := wait > 0
 	if interruptible {
 		w.abort = cancel
@@ -215,6 +226,16 @@
 		w.logger.Warn().Err(err).Int64("offset", int64(w.next)).Msg("log cannot be read, the last state stays")
 	}
 	w.sink.Reachable(false)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.away = true
+	w.tell()
+}
+
+// tell wakes those who wait. The lock is held.
+func (w *Watcher) tell() {
+	close(w.changed)
+	w.changed = make(chan struct{})
 }
 
 // answered notes that everything up to a time is known.
@@ -222,9 +243,8 @@
 	w.sink.Reachable(true)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.contact = known
-	close(w.changed)
-	w.changed = make(chan struct{})
+	w.contact, w.away = known, false
+	w.tell()
 }
 
 // pause grows with the failures in a row; half of it is drawn at random, so
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -21,6 +21,7 @@
 	first   ident.Offset
 	silent  bool // calls are never answered
 	down    bool // calls fail at once
+	delay   time.Duration
 	reads   int
 	added   chan struct{}
 }
@@ -47,7 +48,7 @@
 
 func (l *fakeLog) answer(ctx context.Context) error {
 	l.mu.Lock()
-	silent, down := l.silent, l.down
+	silent, down, delay := l.silent, l.down, l.delay
 	l.reads++
 	l.mu.Unlock()
 	if silent {
@@ -57,7 +58,12 @@
 	if down {
 		return logservice.ErrUnavailable
 	}
-	return nil
+	select {
+	case <-time.After(delay):
+		return nil
+	case <-ctx.Done():
+		return logservice.Unavailable(ctx.Err())
+	}
 }
 
 func (l *fakeLog) Newest(ctx context.Context, _ logservice.Stream) ([]logservice.KeyedEntry, ident.Offset, error) {
@@ -260,3 +266,24 @@
 		require.LessOrEqual(t, log.reads, 102)
 	})
 }
+
+// TestSlowReplyIsGivenMoreTime: after an outage a page can be so large that a
+// slow link needs longer for it than a healthy log takes to answer.
+func TestSlowReplyIsGivenMoreTime(t *testing.T) {
+	play(t, func(t *testing.T, log *fakeLog, s *state, _ *Watcher) {
+		log.set(func() { log.delay = 3 * replyTimeout })
+		log.add("a", "2")
+		time.Sleep(15 * time.Second)
+		require.Equal(t, "2", s.get("a"))
+	})
+}
+
+func TestFreshReadIsNotWaitedForWhileTheLogIsAway(t *testing.T) {
+	play(t, func(t *testing.T, log *fakeLog, _ *state, w *Watcher) {
+		log.set(func() { log.down = true })
+		time.Sleep(3 * time.Second)
+		begun := time.Now()
+		require.Error(t, w.Fresh(t.Context()))
+		require.Zero(t, time.Since(begun))
+	})
+}
