A call to the log ends when nothing comes, not when it takes long

Change: the log's client gives a call up after 0.7 s without a byte beyond the hold, and lets it go on while bytes come; the callers bound the whole. Tests: TestSilentCallEndsAndSlowOneDoesNot, TestSilentConnectionIsLeftInTime with a silence that lasts for the hold too.

--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -49,8 +49,9 @@
 
 // Times of the calls.
 const (
-	// callTimeout bounds one call; a slow log takes some 300 ms for each.
-	callTimeout = 900 * time.Millisecond
+	// callTimeout bounds one call; the log's client gives a silent one up
+	// sooner, a slow link needs longer for a page.
+	callTimeout = 3 * time.Second
 	// loadTimeout bounds reading the entries of all accounts: some megabytes
 	// over a slow link.
 	loadTimeout = 10 * time.Second
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -16,7 +16,8 @@
 	"github.com/camphorlever/camphorlever/internal/logservice"
 )
 
-// Log is what a watcher needs of the platform's log.
+// Log is what a watcher needs of the platform's log. A call on which nothing
+// comes for a while fails by itself.
 type Log interface {
 	Newest(ctx context.Context, stream logservice.Stream) ([]logservice.KeyedEntry, ident.Offset, error)
 	ReadKeyed(ctx context.Context, stream logservice.Stream, from ident.Offset, wait time.Duration) ([]logservice.KeyedEntry, ident.Offset, error)
@@ -34,12 +35,9 @@
 
 // Times of the calls.
 const (
-	// replyTimeout is how long a reply may take beyond the wait; a slow log
-	// takes some 300 ms.
-	replyTimeout = 700 * time.Millisecond
-	// longestReply is up to which time a reply is waited for after failures: a
-	// page after an outage can be large for a slow link.
-	longestReply = 8 * replyTimeout
+	// longestReply bounds a reply beyond the hold: a page after an outage can
+	// be large for a slow link. The log's client gives a silent call up sooner.
+	longestReply = 6 * time.Second
 	// firstPause and longestPause bound the pause after a failure. The longest
 	// stays well below the time in which settings come into force.
 	firstPause   = 60 * time.Millisecond
@@ -170,7 +168,7 @@
 		wait = 0
 		w.asked = false
 	}
-	call, cancel := context.WithTimeout(ctx, wait+min(replyTimeout<<min(failures, 10), longestReply))
+	call, cancel := context.WithTimeout(ctx, wait+longestReply)
 	interruptible := wait > 0
 	if interruptible {
 		w.abort = cancel
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -14,6 +14,9 @@
 	"github.com/camphorlever/camphorlever/internal/logservice"
 )
 
+// quiet is how long a silent call takes to fail, as the log's client does it.
+const quiet = 700 * time.Millisecond
+
 // fakeLog holds one stream; calls can hang, fail or find the stream trimmed.
 type fakeLog struct {
 	mu      sync.Mutex
@@ -46,28 +49,27 @@
 	change()
 }
 
-func (l *fakeLog) answer(ctx context.Context) error {
+func (l *fakeLog) answer(ctx context.Context, wait time.Duration) error {
 	l.mu.Lock()
 	silent, down, delay := l.silent, l.down, l.delay
 	l.reads++
 	l.mu.Unlock()
 	if silent {
-		<-ctx.Done()
-		return logservice.Unavailable(ctx.Err())
-	}
-	if down {
-		return logservice.ErrUnavailable
+		delay, down = wait+quiet, true
 	}
 	select {
 	case <-time.After(delay):
-		return nil
 	case <-ctx.Done():
 		return logservice.Unavailable(ctx.Err())
 	}
+	if down {
+		return logservice.ErrUnavailable
+	}
+	return nil
 }
 
 func (l *fakeLog) Newest(ctx context.Context, _ logservice.Stream) ([]logservice.KeyedEntry, ident.Offset, error) {
-	if err := l.answer(ctx); err != nil {
+	if err := l.answer(ctx, 0); err != nil {
 		return nil, 0, err
 	}
 	l.mu.Lock()
@@ -86,7 +88,7 @@
 }
 
 func (l *fakeLog) ReadKeyed(ctx context.Context, _ logservice.Stream, from ident.Offset, wait time.Duration) ([]logservice.KeyedEntry, ident.Offset, error) {
-	if err := l.answer(ctx); err != nil {
+	if err := l.answer(ctx, wait); err != nil {
 		return nil, 0, err
 	}
 	timer := time.NewTimer(wait)
@@ -271,7 +273,7 @@
 // slow link needs longer for it than a healthy log takes to answer.
 func TestSlowReplyIsGivenMoreTime(t *testing.T) {
 	play(t, func(t *testing.T, log *fakeLog, s *state, _ *Watcher) {
-		log.set(func() { log.delay = 3 * replyTimeout })
+		log.set(func() { log.delay = 3 * quiet })
 		log.add("a", "2")
 		time.Sleep(15 * time.Second)
 		require.Equal(t, "2", s.get("a"))
