--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -127,6 +127,7 @@
 	inner   *http.Server
 	ready   *http.Server
 	metrics *http.Server
+	bound   map[*http.Server]net.Addr // where the listeners stand, since Start
 	failed  chan error
 	work    conc.WaitGroup
 	budget  conc.WaitGroup
@@ -146,6 +147,7 @@
 		pool:     upstream.NewPool(codec),
 		outcomes: newOutcomes(),
 		lastCall: newLastCall(),
+		bound:    map[*http.Server]net.Addr{},
 		failed:   make(chan error, 3),
 	}
 	r.settings = &published{decoder: o.Decoder, log: r.log, changed: func(*catalog.Settings) {}}
@@ -245,6 +247,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", address)
 	}
+	r.bound[server] = listener.Addr()
 	r.work.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			r.failed <- errors.Wrapf(err, "serve on %s", address)
@@ -260,6 +263,12 @@
 	}
 }
 
+// CallersAddress returns where callers are served, once started.
+func (r *Router) CallersAddress() string { return r.bound[r.callers].String() }
+
+// ReadyAddress returns where readiness is told, once started.
+func (r *Router) ReadyAddress() string { return r.bound[r.ready].String() }
+
 // Failed tells of a listener that broke.
 func (r *Router) Failed() <-chan error { return r.failed }
 
