A node that has started has read the settings too

Cause: Start returned once the ledger was loaded, while Ready also asks for the settings, whose first read runs beside. A caller that asked Ready right after Start got "state is not loaded yet" when that read was the slower. Change: Start waits until no stream is missing. The test is unchanged.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -160,8 +160,8 @@
 }
 
 // Start follows the streams, registers the process and returns once the
-// registration was read back and the ledger is loaded. When ctx ends first it returns ErrNotRegistered,
-// and goes on trying until Stop.
+// registration was read back, and the settings and the ledger are loaded. When
+// ctx ends first it returns ErrNotRegistered, and goes on trying until Stop.
 func (n *Node) Start(ctx context.Context) error {
 	n.start.Do(n.run)
 	select {
@@ -197,7 +197,7 @@
 		if n.options.Role == fleet.RoleRouter {
 			n.work.Go(func() { newCloser(n).run(ctx) })
 		}
-		for n.ledger.ready() != nil && pauseFor(ctx, loadedInterval, nil) {
+		for errors.Is(n.Ready(), ErrNotLoaded) && pauseFor(ctx, loadedInterval, nil) {
 		}
 	}
 	close(n.startedAt)
