Routers read the budget stream before they append, and draw for all accounts at once

Each router looked at its hands every 250 ms and drew for whichever account was below its mark; with 24 routers the stream had always moved on since, so a draw cost an append in vain, a read and an append. Change: where others write, the stream is read first; an append that is due takes along all accounts below 97 % of their target; the pace is at most 40 appends a second for all routers together; the first hands are a share of what is left for all routers, not for each. Tokens to be given back stay in hand if nothing was sent.

--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -46,6 +46,9 @@
 	return &Client{roster: roster, fleetKey: fleetKey, events: counter.NewSet("peers"), callee: map[string]*callee{}}
 }
 
+// Others implements prepaid.Peers.
+func (c *Client) Others() int { return len(c.roster.Others()) }
+
 // Borrow implements prepaid.Peers.
 func (c *Client) Borrow(ctx context.Context, args prepaid.BorrowArgs, take func(prepaid.BorrowReply) int64) {
 	for _, peer := range c.reachable() {
--- a/internal/prepaid/hands.go
+++ b/internal/prepaid/hands.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/camphorlever/camphorlever/internal/catalog"
@@ -14,8 +16,15 @@
 
 // Times of the controller and of requests that wait for tokens.
 const (
-	// tickEvery is how often the hands are looked at when nobody waits.
+	// tickEvery is the least time between two looks at the hands when nobody
+	// waits.
 	tickEvery = 250 * time.Millisecond
+	// tickPerRouter keeps the appends of all routers at 40 a second: an append
+	// takes the log 4 ms, and one at an old end is made again.
+	tickPerRouter = 25 * time.Millisecond
+	// longestTick is well below the horizon, since hands sink between two
+	// looks.
+	longestTick = 2 * time.Second
 	// waitForDraw is how long a request waits for tokens: an append and its
 	// repetition on a healthy log take some 30 ms, on a slow one 300 ms.
 	waitForDraw = 350 * time.Millisecond
@@ -212,11 +221,28 @@
 		}
 	}
 	close(g.loaded)
-	for wait(ctx, tickEvery, g.kick) {
+	for wait(ctx, g.tick(), g.kick) {
 		g.balance(ctx)
 	}
 }
 
+// tick returns the time until the hands are looked at again. A log that is away
+// is tried at the shortest, so that its return is noticed soon.
+func (g *Hands) tick() time.Duration {
+	if g.ledger.Away() {
+		return tickEvery
+	}
+	return min(max(tickEvery, time.Duration(g.routers())*tickPerRouter), longestTick)
+}
+
+// routers returns how many routers there are, with this one.
+func (g *Hands) routers() int {
+	if g.peers == nil {
+		return 1
+	}
+	return 1 + g.peers.Others()
+}
+
 // wait pauses, or until the kick; it returns false when ctx ended.
 func wait(ctx context.Context, d time.Duration, kick <-chan struct{}) bool {
 	timer := time.NewTimer(d)
@@ -235,39 +261,59 @@
 	if settings == nil {
 		return
 	}
-	var due []due
-	var changes []Change
+	var all []due
 	urgent := false
 	settings.Accounts(func(a *catalog.Account) {
-		if !a.Metered {
-			return
-		}
-		d := g.look(a, settings.Version)
-		if d.change.Draw > 0 || d.change.Return > 0 || d.need > 0 {
-			due = append(due, d)
-			changes = append(changes, d.change)
-			urgent = true
+		if a.Metered {
+			d := g.look(a, settings.Version)
+			urgent = urgent || d.urgent
+			all = append(all, d)
 		}
 	})
 	if !urgent {
 		return
 	}
+	var changes []Change
+	all = slices.DeleteFunc(all, func(d due) bool {
+		return d.change.Draw == 0 && d.change.Return == 0 && d.need == 0
+	})
+	for _, d := range all {
+		changes = append(changes, d.change)
+	}
 	results, err := g.ledger.Apply(ctx, changes)
 	now := time.Now()
 	if err != nil {
-		g.events.Inc("append_failed")
-		return // returns that may not have taken effect are lost, never spent
+		g.failed(err, all)
+		return
 	}
-	for i, d := range due {
+	for i, d := range all {
 		g.apply(d, results[i], now)
 	}
 }
 
+// failed ends changes that were not made. Tokens to be given back stay in hand
+// if nothing was sent; otherwise the append may take effect yet, and they are
+// lost.
+func (g *Hands) failed(err error, all []due) {
+	var unsent *NotWrittenError
+	if !errors.As(err, &unsent) {
+		g.events.Inc("append_failed")
+		return
+	}
+	g.events.Inc("append_unsent")
+	for _, d := range all {
+		if d.change.Return > 0 {
+			d.hand.give(d.change.Return)
+		}
+	}
+}
+
 // due is a change that one hand asks for.
 type due struct {
 	hand   *hand
 	change Change
 	need   int64 // of requests that wait, beyond what is in hand
+	urgent bool  // the change is worth an append of its own
 }
 
 // look works out the change that is due for an account.
@@ -279,16 +325,18 @@
 	h.saw(read)
 	s.free = free
 	s.fleet = g.ledger.FleetRate(a.Name)
+	s.routers = g.routers()
 	d := due{hand: h, need: need, change: Change{Account: a.Name, Paid: a.Prepaid, Version: version}}
+	draw, low := s.draw()
 	if need > 0 {
-		d.change.Draw = max(need, s.draw())
+		d.change.Draw, d.urgent = max(need, draw), true
 		return d
 	}
 	if excess := s.excess(); excess > 0 {
-		d.change.Return = h.giveUp(excess)
+		d.change.Return, d.urgent = h.giveUp(excess), true
 		return d
 	}
-	d.change.Draw = s.draw()
+	d.change.Draw, d.urgent = draw, low
 	return d
 }
 
--- a/internal/prepaid/hands_test.go
+++ b/internal/prepaid/hands_test.go
@@ -23,6 +23,7 @@
 	routers []*Hands
 	stops   []context.CancelFunc
 	lose    int // replies to loans that are lost
+	more    int // accounts beside "maps"
 }
 
 // neighbours are the other routers of one router.
@@ -31,6 +32,8 @@
 	self  int
 }
 
+func (n neighbours) Others() int { return len(n.fleet.routers) - 1 }
+
 func (n neighbours) Borrow(_ context.Context, args BorrowArgs, take func(BorrowReply) int64) {
 	for i, other := range n.fleet.routers {
 		if i == n.self || other == nil || args.Want <= 0 {
@@ -51,7 +54,11 @@
 }
 
 func (f *fleet) settings() *catalog.Settings {
-	return catalog.Build(catalog.Draft{Version: f.version, Accounts: []*catalog.Account{{Name: "maps", Prepaid: f.prepaid, Metered: true}}})
+	accounts := []*catalog.Account{{Name: "maps", Prepaid: f.prepaid, Metered: true}}
+	for i := range f.more {
+		accounts = append(accounts, &catalog.Account{Name: fmt.Sprint(i), Prepaid: f.prepaid, Metered: true})
+	}
+	return catalog.Build(catalog.Draft{Version: f.version, Accounts: accounts})
 }
 
 // start begins the lives of n routers.
@@ -274,3 +281,34 @@
 		require.Less(t, f.log.reads, 60, "the ledger is not asked for each request")
 	})
 }
+
+// TestCallsOfManyRoutersAreBounded plays 24 routers with 24 accounts in use, on
+// a log whose calls are priced and which makes 40 appends a second at ease.
+func TestCallsOfManyRoutersAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(5_000_000)
+		f.more = 23
+		f.start(t, 24)
+		r := rand.New(rand.NewPCG(7, 8))
+		const span = 20
+		use := func() {
+			for end := time.Now().Add(span * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+				account := "maps"
+				if n := r.IntN(24); n > 0 {
+					account = fmt.Sprint(n - 1)
+				}
+				hold, outcome := f.routers[r.IntN(24)].Acquire(t.Context(), account, 2000)
+				require.Equal(t, Granted, outcome)
+				hold.Settle(1000 + r.Int64N(1000))
+			}
+		}
+		use() // until the rates are known
+		f.log.mu.Lock()
+		f.log.appends, f.log.reads = 0, 0
+		f.log.mu.Unlock()
+		use()
+		f.kill()
+		require.LessOrEqual(t, f.log.appends, 40*span)
+		require.LessOrEqual(t, f.log.reads, 40*span)
+	})
+}
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -47,6 +47,18 @@
 // effect. The tokens that it would have drawn are not given to anybody.
 var ErrUnresolved = errors.New("outcome of the append cannot be known any more")
 
+// NotWrittenError means that a change was not sent, since the log could not be
+// read before.
+type NotWrittenError struct{ Cause error }
+
+// Error implements error.
+func (e *NotWrittenError) Error() string {
+	return "budget entries were not written: " + e.Cause.Error()
+}
+
+// Unwrap returns why the log could not be read.
+func (e *NotWrittenError) Unwrap() error { return e.Cause }
+
 // Times of the calls.
 const (
 	// callTimeout bounds one call; the log's client gives a silent one up
@@ -75,6 +87,7 @@
 	end     ident.Offset // up to which the entries are known; only Apply's caller uses it
 	loaded  bool         // the same
 	writes  uint64       // the same
+	shared  bool         // the same; others had written when the stream was last read
 
 	away atomic.Pointer[time.Time] // since when appends are not answered; nil if they are
 }
@@ -160,23 +173,25 @@
 }
 
 // Apply makes changes in one append. It goes on until it is known what became
-// of the append or ctx ends. The results are in the order of the changes.
+// of the append or ctx ends. The results are in the order of the changes. It
+// fails with a NotWrittenError if nothing was sent.
 //
 // That an account has too few tokens is concluded only from a fresh read: other
-// routers may have given some back.
+// routers may have given some back. Where others write too, the stream is read
+// first: an append at an old end costs a call and fails.
 func (l *Ledger) Apply(ctx context.Context, changes []Change) ([]Result, error) {
 	fresh := false
-	for {
-		if !l.loaded {
-			if err := l.Load(ctx); err != nil {
-				return nil, err
-			}
-			fresh = true
+	if !l.loaded || l.shared {
+		if err := l.update(ctx); err != nil {
+			return nil, &NotWrittenError{Cause: err}
 		}
+		fresh = true
+	}
+	for {
 		results, entries := l.plan(changes)
 		if !fresh && lacking(changes, results) {
 			if err := l.refresh(ctx); err != nil {
-				return nil, err
+				return nil, &NotWrittenError{Cause: err}
 			}
 			fresh = true
 			continue
@@ -206,6 +221,14 @@
 	return false
 }
 
+// update reads all entries, or those that are new.
+func (l *Ledger) update(ctx context.Context) error {
+	if !l.loaded {
+		return l.Load(ctx)
+	}
+	return l.refresh(ctx)
+}
+
 // refresh reads what others have written.
 func (l *Ledger) refresh(ctx context.Context) error {
 	l.events.Inc("refreshes")
@@ -343,6 +366,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.read = asked
+	l.shared = len(read) > 0
 	if len(read) == 0 {
 		return false, false, nil
 	}
--- a/internal/prepaid/lend.go
+++ b/internal/prepaid/lend.go
@@ -36,6 +36,8 @@
 
 // Peers asks other routers for tokens, and hands over what is left at a stop.
 type Peers interface {
+	// Others returns how many other routers there are, as far as is known.
+	Others() int
 	// Borrow asks one router after the other, and calls take with each reply
 	// until it returns false.
 	Borrow(ctx context.Context, args BorrowArgs, take func(BorrowReply) (more int64))
--- a/internal/prepaid/size.go
+++ b/internal/prepaid/size.go
@@ -10,10 +10,10 @@
 	// somewhat above its usual outages of 5 to 9 seconds. What is held dies
 	// with the router, so more would cost more than it saves.
 	horizon = 9500 * time.Millisecond
-	// firstShare is the part of what is left that one router holds before it is
-	// known how fast the account is used: an outage may come right after the
-	// start.
-	firstShare = 0.04
+	// firstShare is the part of what is left that all routers together hold
+	// before it is known how fast the account is used: an outage may come right
+	// after the start.
+	firstShare = 0.16
 	// fleetShare is the part of what is left that all routers together hold at
 	// most; each holds of it what it uses of the account.
 	fleetShare = 0.7
@@ -23,6 +23,9 @@
 	// lowWater is the part of the target below which a draw is due. An append
 	// costs little, so the hand stays close to the target.
 	lowWater = 0.92
+	// fullWater is the part of the target above which a hand is left out of an
+	// append that is made for other accounts.
+	fullWater = 0.97
 	// highWater is the part of the target above which tokens are given back.
 	highWater = 1.12
 )
@@ -51,6 +54,8 @@
 	rate  float64 // tokens a second used here
 	fleet float64 // tokens a second used by all routers; zero if not known
 	bound int64   // of a large recent request
+
+	routers int // that share the account, with this one
 }
 
 // target returns how many tokens the router should have in hand.
@@ -58,19 +63,21 @@
 	left := float64(max(s.free+s.hand, 0))
 	wanted := s.rate * horizon.Seconds()
 	if s.fleet <= 0 {
-		return int64(min(max(wanted, firstShare*left), 2*firstShare*left))
+		share := firstShare / float64(max(s.routers, 1)) * left
+		return int64(min(max(wanted, share), 2*share))
 	}
 	limit := fleetShare * min(s.rate/s.fleet, 1) * left
 	return int64(max(min(wanted, limit), floorShare*left))
 }
 
-// draw returns how many tokens to draw before they are needed.
-func (s situation) draw() int64 {
+// draw returns how many tokens to draw before they are needed, and whether that
+// is due; if not, it is worth doing along with another draw.
+func (s situation) draw() (tokens int64, due bool) {
 	target := s.target()
-	if float64(s.hand) >= lowWater*float64(target) {
-		return 0
+	if float64(s.hand) >= fullWater*float64(target) {
+		return 0, false
 	}
-	return target - s.hand
+	return target - s.hand, float64(s.hand) < lowWater*float64(target)
 }
 
 // excess returns how many tokens to give back.
