--- a/cmd/camphor-entry/main.go
+++ b/cmd/camphor-entry/main.go
@@ -2,6 +2,8 @@
 package main
 
 import (
+	"cmp"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -42,6 +44,7 @@
 	Settings string           `help:"Settings file that the platform writes (TOML)." env:"CAMPHORLEVER_SETTINGS" type:"path"`
 	Metrics  string           `help:"Port on which metrics are served; none if empty." default:""`
 	LogLevel string           `help:"Lowest level of the log lines: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
+	LogVia   string           `help:"Connect to the log at this address instead of the one in the settings file, such as that of a proxy." default:""`
 	Check    bool             `help:"Only check the settings file."`
 	Version  kong.VersionFlag `help:"Print the version."`
 }
@@ -78,7 +81,7 @@
 	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	logger := zerolog.New(sink).Level(level).With().Timestamp().Str("node", local.Node).Logger()
-	r := entry.New(optionsOf(local, cli), platform.NewLog(local.LogAddress, transport()), platform.Codec{}, logger)
+	r := entry.New(optionsOf(local, cli), platform.NewLog(local.LogAddress, transport(cli.LogVia)), platform.Codec{}, logger)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if err := r.Start(); err != nil {
@@ -144,11 +147,14 @@
 	return o
 }
 
-// transport connects to the log. Broken calls are never repeated by themselves.
-func transport() http.RoundTripper {
+// transport connects to the log, at another address than its own if one is
+// given. Broken calls are never repeated by themselves.
+func transport(via string) http.RoundTripper {
 	dialer := &net.Dialer{Timeout: logDialTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, network, cmp.Or(via, address))
+		},
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     logIdle,
 		DisableCompression:  true,
