Few routers draw for an account, the others borrow from them

The share of one router of a small account is less than one request, so most requests needed a draw; draws of all routers met at one stream and took up to 350 ms; in an outage the tokens lay in pieces that no request finds. Change: four routers, by rendezvous of the account, are its homes. They draw for what they use and lend; the others keep 1.5 s of use and ask the homes first, 2 ms away. Pieces beyond need are given back if they make up a fifth of what is left. A round of calls in vain is not repeated for 250 ms. Up to four routers all are homes, as before. Tests, failing before: 24 routers before a small account (24 of 28 requests of an outage served, now 28), a log that takes 300 ms a call (unreachable after 350 ms, now granted after 100).

--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -46,22 +46,49 @@
 	return &Client{roster: roster, fleetKey: fleetKey, events: counter.NewSet("peers"), callee: map[string]*callee{}}
 }
 
-// Others implements prepaid.Peers.
-func (c *Client) Others() int { return len(c.roster.Others()) }
+// Fleet implements prepaid.Peers.
+func (c *Client) Fleet() prepaid.Fleet { return c.roster.Fleet() }
 
 // Borrow implements prepaid.Peers.
-func (c *Client) Borrow(ctx context.Context, args prepaid.BorrowArgs, take func(prepaid.BorrowReply) int64) {
-	for _, peer := range c.reachable() {
+func (c *Client) Borrow(ctx context.Context, args prepaid.BorrowArgs, first []string, all bool, take func(prepaid.BorrowReply) int64) (complete bool) {
+	peers := c.reachable()
+	complete = len(peers) == len(c.roster.Others())
+	for _, peer := range inOrder(peers, first, all) {
 		if args.Want <= 0 || ctx.Err() != nil {
-			return
+			return false
 		}
 		var reply prepaid.BorrowReply
-		if c.call(ctx, peer, "Lend", &args, &reply) == nil {
-			args.Free += args.Want
-			args.Want = take(reply)
-			args.Free -= args.Want
+		if c.call(ctx, peer, "Lend", &args, &reply) != nil {
+			complete = false
+			continue
+		}
+		args.Free += args.Want
+		args.Want = take(reply)
+		args.Free -= args.Want
+	}
+	return complete
+}
+
+// inOrder puts the peers that are named first; without all the others are left
+// out.
+func inOrder(peers []*callee, first []string, all bool) []*callee {
+	var named, rest []*callee
+	for _, name := range first {
+		for _, peer := range peers {
+			if peer.member.Node == name {
+				named = append(named, peer)
+			}
+		}
+	}
+	if !all {
+		return named
+	}
+	for _, peer := range peers {
+		if !slices.Contains(first, peer.member.Node) {
+			rest = append(rest, peer)
 		}
 	}
+	return append(named, rest...)
 }
 
 // Give implements prepaid.Peers. The totals are the same at each try, so a
@@ -120,7 +147,7 @@
 	for _, m := range c.roster.Others() {
 		present[m.Node] = true
 		if known := c.callee[m.Node]; known != nil {
-			if known.member == m {
+			if known.member.Life == m.Life && known.member.Address == m.Address {
 				continue
 			}
 			_ = known.caller.Close() // that life is over
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -74,7 +74,7 @@
 	for range 2 {
 		var got []prepaid.BorrowReply
 		begun := time.Now()
-		c.Borrow(context.Background(), prepaid.BorrowArgs{Account: "maps", Want: 10}, func(r prepaid.BorrowReply) int64 {
+		c.Borrow(context.Background(), prepaid.BorrowArgs{Account: "maps", Want: 10}, nil, true, func(r prepaid.BorrowReply) int64 {
 			got = append(got, r)
 			return 0
 		})
@@ -93,6 +93,23 @@
 	require.Error(t, NewClient(rosterOf(t), "key").Give(context.Background(), prepaid.GiveArgs{}))
 }
 
+// TestFewRoutersMaySendCallersElsewhere: one in four, and only if there are
+// others.
+func TestFewRoutersMaySendCallersElsewhere(t *testing.T) {
+	member := func(node string, full bool) Member { return Member{Node: node, Address: node, Full: full} }
+	require.False(t, rosterOf(t).MayFill())
+	require.True(t, rosterOf(t, member("a", false)).MayFill())
+	require.False(t, rosterOf(t, member("a", true)).MayFill())
+	require.False(t, rosterOf(t, member("a", false), member("b", true), member("c", false)).MayFill())
+	members := []Member{member("a", true)}
+	for _, node := range []string{"b", "c", "d", "e", "f", "g"} {
+		members = append(members, member(node, false))
+	}
+	require.True(t, rosterOf(t, members...).MayFill(), "two in eight")
+	members[1].Full = true
+	require.False(t, rosterOf(t, members...).MayFill(), "three in eight")
+}
+
 // flaky fails a number of times.
 type flaky struct{ failures int }
 
--- a/internal/peers/roster.go
+++ b/internal/peers/roster.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +15,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/camphorlever/camphorlever/internal/logservice"
+	"github.com/camphorlever/camphorlever/internal/prepaid"
 )
 
 // Times of announcing.
@@ -26,6 +29,7 @@
 	Node    string `msgpack:"-"` // the key
 	Address string `msgpack:"a"` // for calls between routers
 	Life    string `msgpack:"l"` // differs with each start
+	Full    bool   `msgpack:"f"` // it sends callers to other routers
 }
 
 // Announcer adds entries to a keyed stream whatever its end.
@@ -40,18 +44,36 @@
 	stream logservice.Stream
 	log    zerolog.Logger
 
-	mu      sync.Mutex // guards members
+	mu      sync.Mutex // guards all below
 	members map[string]Member
+	fleet   prepaid.Fleet
 }
 
 // NewRoster returns a roster that knows nobody.
 func NewRoster(self Member, stream logservice.Stream, log zerolog.Logger) *Roster {
-	return &Roster{
+	r := &Roster{
 		self:    self,
 		stream:  stream,
 		log:     log.With().Str("part", "peers").Logger(),
 		members: map[string]Member{},
 	}
+	r.changed()
+	return r
+}
+
+// Fleet returns the names of the routers.
+func (r *Roster) Fleet() prepaid.Fleet {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet
+}
+
+// changed makes a new list of names, since others may read the old one. The
+// lock is held, but at the beginning.
+func (r *Roster) changed() {
+	names := append(slices.Collect(maps.Keys(r.members)), r.self.Node)
+	slices.Sort(names)
+	r.fleet = prepaid.Fleet{Self: r.self.Node, Routers: names, Version: r.fleet.Version + 1, Known: r.fleet.Known}
 }
 
 // Others lists the other routers.
@@ -69,6 +91,7 @@
 func (r *Roster) Reset(entries []logservice.KeyedEntry) {
 	r.mu.Lock()
 	r.members = map[string]Member{}
+	r.fleet.Known = true
 	r.mu.Unlock()
 	r.Apply(entries)
 }
@@ -77,6 +100,7 @@
 func (r *Roster) Apply(entries []logservice.KeyedEntry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	defer r.changed()
 	for _, e := range entries {
 		if e.Key == "" || e.Key == r.self.Node {
 			continue
@@ -92,8 +116,35 @@
 			continue
 		}
 		r.members[e.Key] = m
-		r.log.Info().Str("router", m.Node).Str("address", m.Address).Msg("router announced itself")
+		r.log.Info().Str("router", m.Node).Str("address", m.Address).Bool("full", m.Full).Msg("router announced itself")
+	}
+}
+
+// fullShare is the part of the routers that may send callers elsewhere at a
+// time: the others must be able to take them.
+const fullShare = 0.25
+
+// MayFill reports whether this router may send its callers to others, as far as
+// it is known which do so already.
+func (r *Roster) MayFill() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	full := 1
+	for _, m := range r.members {
+		if m.Full {
+			full++
+		}
 	}
+	return len(r.members) > 0 && float64(full) <= max(fullShare*float64(len(r.members)+1), 1)
+}
+
+// SetFull tells the other routers whether this one sends callers to them. They
+// need not hear of it.
+func (r *Roster) SetFull(ctx context.Context, log Announcer, full bool) error {
+	r.mu.Lock()
+	r.self.Full = full
+	r.mu.Unlock()
+	return r.Announce(ctx, log)
 }
 
 // Reachable implements watch.Sink.
@@ -102,11 +153,14 @@
 // Announce writes the own entry until it is written or ctx ends. Writing it
 // twice does no harm.
 func (r *Roster) Announce(ctx context.Context, log Announcer) error {
-	raw, err := msgpack.Marshal(&r.self)
+	r.mu.Lock()
+	self := r.self
+	r.mu.Unlock()
+	raw, err := msgpack.Marshal(&self)
 	if err != nil {
 		return errors.Wrap(err, "encode own entry")
 	}
-	return r.write(ctx, log, logservice.KeyedEntry{Key: r.self.Node, Value: raw})
+	return r.write(ctx, log, logservice.KeyedEntry{Key: self.Node, Value: raw})
 }
 
 // Leave drops the own entry.
--- a/internal/prepaid/fake_test.go
+++ b/internal/prepaid/fake_test.go
@@ -22,6 +22,7 @@
 	down    bool         // calls fail
 	appends int
 	reads   int
+	takes   time.Duration // a call
 }
 
 var errLost = errors.New("reply is lost")
@@ -31,6 +32,7 @@
 }
 
 func (l *fakeLog) Newest(context.Context, logservice.Stream) ([]logservice.KeyedEntry, ident.Offset, error) {
+	l.work()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down || l.roll(0.1) {
@@ -48,6 +50,7 @@
 }
 
 func (l *fakeLog) ReadKeyed(_ context.Context, _ logservice.Stream, from ident.Offset, _ time.Duration) ([]logservice.KeyedEntry, ident.Offset, error) {
+	l.work()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reads++
@@ -61,6 +64,7 @@
 }
 
 func (l *fakeLog) AppendAt(_ context.Context, _ logservice.Stream, at ident.Offset, entries ...logservice.KeyedEntry) error {
+	l.work()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.appends++
@@ -96,6 +100,20 @@
 	return nil
 }
 
+// work takes as long as a call does.
+func (l *fakeLog) work() {
+	l.mu.Lock()
+	takes := l.takes
+	l.mu.Unlock()
+	time.Sleep(takes)
+}
+
+func (l *fakeLog) setTakes(takes time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.takes = takes
+}
+
 func (l *fakeLog) setDown(down bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/prepaid/hand.go
+++ b/internal/prepaid/hand.go
@@ -40,6 +40,10 @@
 	shortAt   time.Time     // when the ledger last had less than was asked for
 	shortOf   int64         // what it had left then
 	borrowing chan struct{} // closed when the call to other routers ends; nil if there is none
+	vainAt    time.Time     // when a call to all routers brought nothing
+	vainFor   int64         // what was lacking then
+	homes     []string      // routers that draw for the account
+	homesOf   uint64        // version of the fleet that they were chosen from
 }
 
 func newHand(account string) *hand {
--- a/internal/prepaid/hands.go
+++ b/internal/prepaid/hands.go
@@ -28,6 +28,10 @@
 	// waitForDraw is how long a request waits for tokens: an append and its
 	// repetition on a healthy log take some 30 ms, on a slow one 300 ms.
 	waitForDraw = 350 * time.Millisecond
+	// askOthersAfter is how long a request waits for a draw before it asks all
+	// other routers: longer than an append and its repetition take on a healthy
+	// log.
+	askOthersAfter = 100 * time.Millisecond
 	// proofAge is how long a verdict of the ledger stands without another look.
 	proofAge = 250 * time.Millisecond
 	// bootWait is how long the controller pauses after a failed load.
@@ -133,30 +137,50 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, waitForDraw)
 	defer cancel()
-	for {
+	if _, home := g.homes(h); !home {
+		g.borrow(ctx, h, tokens, false)
+	}
+	asked, begun := false, time.Now()
+	for !h.take(tokens) {
 		away := g.ledger.Away()
 		if away || h.short(tokens, time.Now()) {
-			g.borrow(ctx, h, tokens)
-			if h.take(tokens) {
-				return &Hold{hand: h, tokens: tokens}, Granted
-			}
-			if away {
-				return nil, g.refused(Unreachable)
-			}
-			return nil, g.refused(Exhausted)
-		}
-		g.await(ctx, h, tokens)
-		if h.take(tokens) {
-			return &Hold{hand: h, tokens: tokens}, Granted
+			return g.lastResort(ctx, h, tokens, away)
 		}
 		if ctx.Err() != nil {
 			return nil, g.refused(Unreachable)
 		}
+		limit := waitForDraw
+		if !asked {
+			limit = askOthersAfter - time.Since(begun)
+		}
+		if limit <= 0 {
+			asked = true
+			g.borrow(ctx, h, tokens, true)
+			continue
+		}
+		g.await(ctx, h, tokens, limit)
 	}
+	return &Hold{hand: h, tokens: tokens}, Granted
 }
 
-// await waits until tokens come into a hand, a verdict on them, or ctx ends.
-func (g *Hands) await(ctx context.Context, h *hand, tokens int64) {
+// lastResort asks all other routers where a draw cannot help.
+func (g *Hands) lastResort(ctx context.Context, h *hand, tokens int64, away bool) (*Hold, Outcome) {
+	g.borrow(ctx, h, tokens, true)
+	switch {
+	case h.take(tokens):
+		return &Hold{hand: h, tokens: tokens}, Granted
+	case away:
+		return nil, g.refused(Unreachable)
+	default:
+		return nil, g.refused(Exhausted)
+	}
+}
+
+// await asks for a draw and waits until tokens come into a hand or a verdict on
+// them, or the time or ctx is over.
+func (g *Hands) await(ctx context.Context, h *hand, tokens int64, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	changed := h.join(tokens)
 	defer h.leave(tokens)
 	select {
@@ -232,15 +256,7 @@
 	if g.ledger.Away() {
 		return tickEvery
 	}
-	return min(max(tickEvery, time.Duration(g.routers())*tickPerRouter), longestTick)
-}
-
-// routers returns how many routers there are, with this one.
-func (g *Hands) routers() int {
-	if g.peers == nil {
-		return 1
-	}
-	return 1 + g.peers.Others()
+	return min(max(tickEvery, time.Duration(len(g.fleet().Routers))*tickPerRouter), longestTick)
 }
 
 // wait pauses, or until the kick; it returns false when ctx ended.
@@ -325,7 +341,9 @@
 	h.saw(read)
 	s.free = free
 	s.fleet = g.ledger.FleetRate(a.Name)
-	s.routers = g.routers()
+	fleet := g.fleet()
+	homes, home := g.homes(h)
+	s.home, s.homes, s.routers = home && fleet.Known, len(homes), len(fleet.Routers)
 	d := due{hand: h, need: need, change: Change{Account: a.Name, Paid: a.Prepaid, Version: version}}
 	draw, low := s.draw()
 	if need > 0 {
--- a/internal/prepaid/hands_test.go
+++ b/internal/prepaid/hands_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,8 +24,10 @@
 	version int64
 	routers []*Hands
 	stops   []context.CancelFunc
-	lose    int // replies to loans that are lost
-	more    int // accounts beside "maps"
+	lose    int  // replies to loans that are lost
+	more    int  // accounts beside "maps"
+	calls   int  // from router to router
+	apart   bool // routers cannot call each other
 }
 
 // neighbours are the other routers of one router.
@@ -32,20 +36,41 @@
 	self  int
 }
 
-func (n neighbours) Others() int { return len(n.fleet.routers) - 1 }
+func (n neighbours) Fleet() Fleet {
+	f := Fleet{Self: fmt.Sprint(n.self), Known: true}
+	for i := range n.fleet.routers {
+		f.Routers = append(f.Routers, fmt.Sprint(i))
+	}
+	return f
+}
 
-func (n neighbours) Borrow(_ context.Context, args BorrowArgs, take func(BorrowReply) int64) {
-	for i, other := range n.fleet.routers {
+func (n neighbours) Borrow(_ context.Context, args BorrowArgs, first []string, all bool, take func(BorrowReply) int64) (complete bool) {
+	if n.fleet.apart {
+		return false
+	}
+	complete = true
+	order := append([]string(nil), first...)
+	for i := range n.fleet.routers {
+		if name := fmt.Sprint(i); all && !slices.Contains(first, name) {
+			order = append(order, name)
+		}
+	}
+	for _, name := range order {
+		i, _ := strconv.Atoi(name) // the names are ours
+		other := n.fleet.routers[i]
 		if i == n.self || other == nil || args.Want <= 0 {
 			continue
 		}
+		n.fleet.calls++
 		reply := other.Lend(args)
 		if n.fleet.lose > 0 {
 			n.fleet.lose--
+			complete = false
 			continue
 		}
 		args.Want = take(reply)
 	}
+	return complete
 }
 
 func (n neighbours) Give(_ context.Context, args GiveArgs) error {
@@ -96,7 +121,7 @@
 	var out figures
 	end := time.Now().Add(span)
 	for time.Now().Before(end) {
-		time.Sleep(time.Duration(float64(time.Second) / perSecond / float64(len(f.routers))))
+		time.Sleep(time.Duration(float64(time.Second) / perSecond / float64(len(f.routers)))) // perSecond at each router
 		router := f.routers[r.IntN(len(f.routers))]
 		tokens := bound/2 + r.Int64N(bound)
 		out.asked++
@@ -199,6 +224,8 @@
 
 // noticeOutage lets all routers try to draw from a log that is down.
 func (f *fleet) noticeOutage(t *testing.T) {
+	f.apart = true
+	defer func() { f.apart = false }()
 	for _, router := range f.routers {
 		_, outcome := router.Acquire(t.Context(), "maps", 10*f.prepaid)
 		require.Equal(t, Unreachable, outcome)
@@ -312,3 +339,44 @@
 		require.LessOrEqual(t, f.log.reads, 40*span)
 	})
 }
+
+// TestSmallAccountBeforeManyRouters plays an account of which one router's share
+// is less than a request: on a calm log, and then without it.
+func TestSmallAccountBeforeManyRouters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2_000_000)
+		f.log.setTakes(4 * time.Millisecond)
+		f.start(t, 24)
+		r := rand.New(rand.NewPCG(9, 10))
+		time.Sleep(5 * time.Second)
+		begun := time.Now()
+		first := f.play(t, r, 15*time.Second, 6./24, 8000)
+		waited := time.Since(begun) - time.Duration(first.asked)*time.Second/6
+		f.log.setDown(true)
+		during := f.play(t, r, 6*time.Second, 6./24, 8000)
+		f.log.setDown(false)
+		f.kill()
+		time.Sleep(time.Second) // the calls in progress end
+		require.Equal(t, first.asked, first.served)
+		require.Less(t, waited/time.Duration(first.asked), 5*time.Millisecond, "no more than the calls of a healthy log take")
+		require.GreaterOrEqual(t, float64(during.served), 0.98*float64(during.asked))
+	})
+}
+
+// TestSlowLogIsNotWaitedForLong: another router lends while an append takes
+// long.
+func TestSlowLogIsNotWaitedForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1_000_000)
+		f.start(t, 4)
+		time.Sleep(time.Second)
+		f.log.setTakes(300 * time.Millisecond)
+		begun := time.Now()
+		hold, outcome := f.routers[0].Acquire(t.Context(), "maps", 60_000) // each has 40,000 in hand
+		require.Equal(t, Granted, outcome)
+		require.Less(t, time.Since(begun), 150*time.Millisecond)
+		hold.Settle(60_000)
+		f.kill()
+		time.Sleep(time.Second) // the calls in progress end
+	})
+}
--- /dev/null
+++ b/internal/prepaid/home.go
@@ -0,0 +1,63 @@
+package prepaid
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// homeRouters is how many routers draw an account's tokens from the ledger; the
+// others borrow from them. It answers many routers before many accounts: drawn
+// by all, the tokens of a small account lie in pieces that are smaller than a
+// request, and the appends of all routers get into each other's way. The death
+// of one home takes a quarter of what is in hands.
+const homeRouters = 4
+
+// homesOf returns the homes of an account among the routers, best first, in the
+// rendezvous order of the account: a router that comes or goes changes one.
+func homesOf(account string, routers []string) []string {
+	type scored struct {
+		router string
+		score  uint64
+	}
+	all := make([]scored, len(routers))
+	for i, r := range routers {
+		all[i] = scored{router: r, score: xxhash.Sum64String(r + "/" + account)}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.router, b.router))
+	})
+	homes := make([]string, min(homeRouters, len(all)))
+	for i := range homes {
+		homes[i] = all[i].router
+	}
+	return homes
+}
+
+// Fleet is the routers as one of them knows them.
+type Fleet struct {
+	Self    string
+	Routers []string // names, with the own one
+	Version uint64   // changes with the routers
+	Known   bool     // the others were read once
+}
+
+// homes returns an account's homes, and whether this router is one.
+func (g *Hands) homes(h *hand) (homes []string, home bool) {
+	fleet := g.fleet()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.homes == nil || h.homesOf != fleet.Version {
+		h.homes, h.homesOf = homesOf(h.account, fleet.Routers), fleet.Version
+	}
+	return h.homes, slices.Contains(h.homes, fleet.Self)
+}
+
+// fleet returns the routers; this one alone if there are no others to call.
+func (g *Hands) fleet() Fleet {
+	if g.peers == nil {
+		return Fleet{Self: g.ledger.life, Routers: []string{g.ledger.life}, Known: true}
+	}
+	return g.peers.Fleet()
+}
--- a/internal/prepaid/lend.go
+++ b/internal/prepaid/lend.go
@@ -36,11 +36,12 @@
 
 // Peers asks other routers for tokens, and hands over what is left at a stop.
 type Peers interface {
-	// Others returns how many other routers there are, as far as is known.
-	Others() int
-	// Borrow asks one router after the other, and calls take with each reply
-	// until it returns false.
-	Borrow(ctx context.Context, args BorrowArgs, take func(BorrowReply) (more int64))
+	// Fleet returns the routers, as far as they are known.
+	Fleet() Fleet
+	// Borrow asks one router after the other, those named first, and the others
+	// only if all is set. It calls take with each reply until nothing more is
+	// wanted. It reports whether all that were to be asked have answered.
+	Borrow(ctx context.Context, args BorrowArgs, first []string, all bool, take func(BorrowReply) (more int64)) (complete bool)
 	// Give hands tokens to one router. An error means that no router may have
 	// them.
 	Give(ctx context.Context, args GiveArgs) error
@@ -95,6 +96,8 @@
 	}
 	given := max(min(int64(give), args.Want), 0)
 	h.free -= given
+	h.used += given // what is lent is used here as well: the hand is to last for it
+	h.since += given
 	if given > 0 {
 		g.events.Inc("lent")
 		g.log.Info().Str("account", args.Account).Str("router", args.Borrower).Int64("tokens", given).
@@ -118,33 +121,20 @@
 // but not each request should make one.
 const borrowSpan = 2 * time.Second
 
-// borrow asks the other routers for tokens. Requests that come meanwhile share
-// the call.
-func (g *Hands) borrow(ctx context.Context, h *hand, tokens int64) {
+// borrow asks the account's homes for tokens, and all other routers if all is
+// set. Requests that come meanwhile share the call.
+func (g *Hands) borrow(ctx context.Context, h *hand, tokens int64, all bool) {
 	if g.peers == nil {
 		return
 	}
-	h.mu.Lock()
-	if running := h.borrowing; running != nil {
-		h.mu.Unlock()
-		select {
-		case <-running:
-		case <-ctx.Done():
-		}
+	homes, _ := g.homes(h)
+	args, done := h.beginBorrow(tokens, g.ledger.life)
+	if done == nil {
+		h.awaitBorrow(ctx)
 		return
 	}
-	done := make(chan struct{})
-	h.borrowing = done
-	args := BorrowArgs{
-		Borrower: g.ledger.life,
-		Account:  h.account,
-		Want:     tokens - h.free + int64(h.rate*borrowSpan.Seconds()),
-		Free:     h.free,
-		Rate:     h.rate,
-	}
-	h.mu.Unlock()
 	want := args.Want
-	g.peers.Borrow(ctx, args, func(reply BorrowReply) int64 {
+	complete := g.peers.Borrow(ctx, args, homes, all, func(reply BorrowReply) int64 {
 		got := g.gotten.raise(reply.Lender, h.account, reply.Total)
 		want -= got
 		if got > 0 {
@@ -154,8 +144,48 @@
 		}
 		return want
 	})
+	h.endBorrow(done, all && complete && want == args.Want, tokens)
+}
+
+// beginBorrow returns what to ask for, and a channel to close after the call;
+// nil if a call is in progress, or one of late was in vain.
+func (h *hand) beginBorrow(tokens int64, life string) (BorrowArgs, chan struct{}) {
 	h.mu.Lock()
-	h.borrowing = nil
+	defer h.mu.Unlock()
+	inVain := time.Since(h.vainAt) <= proofAge && tokens-h.free >= h.vainFor
+	if h.borrowing != nil || inVain {
+		return BorrowArgs{}, nil
+	}
+	h.borrowing = make(chan struct{})
+	return BorrowArgs{
+		Borrower: life,
+		Account:  h.account,
+		Want:     tokens - h.free + int64(h.rate*borrowSpan.Seconds()),
+		Free:     h.free,
+		Rate:     h.rate,
+	}, h.borrowing
+}
+
+// awaitBorrow waits for the call in progress, if there is one.
+func (h *hand) awaitBorrow(ctx context.Context) {
+	h.mu.Lock()
+	running := h.borrowing
 	h.mu.Unlock()
+	if running == nil {
+		return
+	}
+	select {
+	case <-running:
+	case <-ctx.Done():
+	}
+}
+
+func (h *hand) endBorrow(done chan struct{}, inVain bool, tokens int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if inVain {
+		h.vainAt, h.vainFor = time.Now(), tokens-h.free
+	}
+	h.borrowing = nil
 	close(done)
 }
--- a/internal/prepaid/size.go
+++ b/internal/prepaid/size.go
@@ -17,6 +17,13 @@
 	// fleetShare is the part of what is left that all routers together hold at
 	// most; each holds of it what it uses of the account.
 	fleetShare = 0.7
+	// nearSpan is for how long the tokens last that a router which is not a home
+	// of the account keeps in hand: it gets more from a home within
+	// milliseconds.
+	nearSpan = 1500 * time.Millisecond
+	// scatterShare is the part of what is left that may lie in all hands
+	// together beyond what they need: pieces that no request finds.
+	scatterShare = 0.2
 	// floorShare is held of an account that has not asked here lately, so that
 	// its first requests in an outage are served.
 	floorShare = 0.003
@@ -55,15 +62,20 @@
 	fleet float64 // tokens a second used by all routers; zero if not known
 	bound int64   // of a large recent request
 
-	routers int // that share the account, with this one
+	home    bool // this router draws for others
+	homes   int  // how many do
+	routers int  // that may hold tokens of the account
 }
 
 // target returns how many tokens the router should have in hand.
 func (s situation) target() int64 {
 	left := float64(max(s.free+s.hand, 0))
+	if !s.home {
+		return int64(s.rate * nearSpan.Seconds())
+	}
 	wanted := s.rate * horizon.Seconds()
 	if s.fleet <= 0 {
-		share := firstShare / float64(max(s.routers, 1)) * left
+		share := firstShare / float64(max(s.homes, 1)) * left
 		return int64(min(max(wanted, share), 2*share))
 	}
 	limit := fleetShare * min(s.rate/s.fleet, 1) * left
@@ -74,7 +86,7 @@
 // is due; if not, it is worth doing along with another draw.
 func (s situation) draw() (tokens int64, due bool) {
 	target := s.target()
-	if float64(s.hand) >= fullWater*float64(target) {
+	if !s.home || float64(s.hand) >= fullWater*float64(target) {
 		return 0, false
 	}
 	return target - s.hand, float64(s.hand) < lowWater*float64(target)
@@ -83,7 +95,9 @@
 // excess returns how many tokens to give back.
 func (s situation) excess() int64 {
 	target := s.target()
-	if float64(s.hand) <= highWater*float64(target)+float64(s.bound) {
+	left := float64(max(s.free+s.hand, 0))
+	slack := min(float64(s.bound), scatterShare/float64(max(s.routers, 1))*left)
+	if float64(s.hand) <= highWater*float64(target)+slack {
 		return 0
 	}
 	return s.hand - target
