A router whose link is full sends its callers to other routers

Change: a gauge of the bytes of callers against the link of the settings. Above 70 % the router says that it is not ready and ends callers' connections with their answers, for 6 s at least, doubled when the link fills again soon; at most a quarter of the routers at a time, which they tell each other.

--- a/cmd/camphor-entry/main.go
+++ b/cmd/camphor-entry/main.go
@@ -125,6 +125,7 @@
 		PeerAddress:    local.PeerAddress,
 		FleetKey:       local.FleetKey,
 		PathReady:      platform.PathReady,
+		LinkBytes:      local.LinkBytes,
 		Grace:          local.Bounds.Grace,
 		Retries: retry.Limits{
 			Share:  local.Bounds.RetryRatio,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/camphorlever/camphorlever/internal/membership"
 	"github.com/camphorlever/camphorlever/internal/peers"
 	"github.com/camphorlever/camphorlever/internal/prepaid"
+	"github.com/camphorlever/camphorlever/internal/pressure"
 	"github.com/camphorlever/camphorlever/internal/retry"
 	"github.com/camphorlever/camphorlever/internal/rpc"
 	"github.com/camphorlever/camphorlever/internal/upstream"
@@ -92,6 +93,7 @@
 	FleetKey       string // that calls between routers must carry
 	PathReady      string
 	MetricsAddress string        // empty: no metrics are served
+	LinkBytes      float64       // that the VM's link carries a second, each way; zero if not known
 	Grace          time.Duration // from the signal to stop until the process is killed
 	Retries        retry.Limits  // over all routers, for each service
 
@@ -117,6 +119,7 @@
 	placer    *affinity.Placer
 	pool      *upstream.Pool
 	chain     filter.Next
+	pressure  *pressure.Gauge
 	outcomes  *outcomes
 
 	active   atomic.Int64 // requests in progress
@@ -155,6 +158,7 @@
 	r.serverLog = watch.New(log, o.StreamServers, &servers{decoder: o.Decoder, table: r.table}, serversPace, logger)
 	life := o.Node + "/" + uuid.NewString()
 	r.roster = peers.NewRoster(peers.Member{Node: o.Node, Address: o.PeerAddress, Life: life}, o.StreamRouters, logger)
+	r.pressure = pressure.New(o.LinkBytes, r.roster.MayFill, logger)
 	r.routerLog = watch.New(log, o.StreamRouters, r.roster, routersPace, logger)
 	ledger := prepaid.NewLedger(log, o.StreamBudgets, life, logger)
 	r.hands = prepaid.NewHands(ledger, r.settings.Current, peers.NewClient(r.roster, o.FleetKey), logger)
@@ -225,6 +229,7 @@
 	r.work.Go(func() { r.settings.watcher.Run(ctx) })
 	r.work.Go(func() { r.serverLog.Run(ctx) })
 	r.work.Go(func() { r.settle(ctx) })
+	r.work.Go(func() { r.watchPressure(ctx) })
 	r.work.Go(func() { r.announce(ctx) })
 	r.work.Go(func() { r.routerLog.Run(ctx) })
 	r.budget.Go(func() { r.hands.Run(drawing) })
@@ -248,6 +253,9 @@
 		return errors.Wrapf(err, "listen on %s", address)
 	}
 	r.bound[server] = listener.Addr()
+	if server == r.callers {
+		listener = r.pressure.Listener(listener)
+	}
 	r.work.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			r.failed <- errors.Wrapf(err, "serve on %s", address)
@@ -287,6 +295,36 @@
 	}
 }
 
+// watchPressure follows how full the link is, and tells the other routers.
+func (r *Router) watchPressure(ctx context.Context) {
+	ticker := time.NewTicker(pressure.SampleEvery)
+	defer ticker.Stop()
+	told := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			r.pressure.Sample(now)
+		}
+		if over := r.pressure.Over(); over != told {
+			told = over
+			r.work.Go(func() { r.tellPressure(ctx, over) })
+		}
+	}
+}
+
+// tellTimeout bounds telling the other routers; later it would be no news.
+const tellTimeout = 3 * time.Second
+
+func (r *Router) tellPressure(ctx context.Context, over bool) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	if err := r.roster.SetFull(ctx, r.platform, over); err != nil {
+		r.log.Warn().Err(err).Bool("full", over).Msg("other routers could not be told how full the link is")
+	}
+}
+
 // loaded reports whether everything that requests need was read.
 func (r *Router) loaded() bool {
 	if r.settings.Current() == nil || r.serverLog.Contact().IsZero() {
@@ -302,7 +340,7 @@
 
 // answerReady tells the platform whether callers may be sent here.
 func (r *Router) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if r.stopping.Load() || !r.loaded() {
+	if r.stopping.Load() || r.pressure.Over() || !r.loaded() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
