A randomized soak of the router on the platform

Real router processes on loopback addresses of their own, proxies to the log and to each backend server, the platform's stand-ins; 25 kinds of draws from single faults, series and overlaps: kills, pauses, stops, reloads, a log that is cut in one direction, reset, slow, down, silent, lost, late, garbled, trimmed, servers that are cut, crash, leave, are followed at their address, fail; top-ups, keys taken away, unreadable entries, callers that leave. What callers and servers saw is checked against ten promises. A seed repeats its schedule; a failed run leaves schedule, verdict and logs in a folder; -soak.replay with -soak.shrink leaves faults out as long as it fails. Guards are taken out by a build overlay.

--- /dev/null
+++ b/test/soak/guards_test.go
@@ -0,0 +1,93 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// guard is a line of the program that keeps a promise, and what stands there
+// when it is taken out.
+type guard struct {
+	name, file string
+	line       string
+	without    string
+}
+
+var guardList = []guard{
+	{
+		"outcome of an append is read back", "internal/prepaid/ledger.go",
+		"		if !errors.Is(err, logservice.ErrMoved) {\n",
+		"		if !errors.Is(err, logservice.ErrMoved) {\n			l.took(planned, at+ident.Offset(len(batch)))\n			if true {\n				return true, nil\n			}\n",
+	},
+	{
+		"append only at the end that was read", "platform/log.go",
+		`, "at": {strconv.FormatInt(int64(at), 10)}}`, `}` + "\n	_ = at",
+	},
+	{
+		"expected instance", "platform/request.go",
+		"	out.Set(headerExpectServer, send.Server.ID)\n", "",
+	},
+	{
+		"drain while the log is away", "internal/membership/table.go",
+		"if !e.gone && !e.server.Draining {", "if !e.gone && (!e.server.Draining || t.away) {",
+	},
+	{
+		"not run only if that is known", "internal/filter/forward/attempt.go",
+		"	run.passage.MayHaveRun = true\n	if run.request.Writer.Started() {", "	if run.request.Writer.Started() {",
+	},
+	{
+		"no refusal by old settings", "internal/filter/route/handler.go",
+		"if time.Since(known) > sureAge {", "if time.Since(known) > 1000*sureAge {",
+	},
+}
+
+// seedsEach is how many seeds look for a guard that is missing.
+const seedsEach = 30
+
+// TestGuardsAreMissed takes one guard out at a time and looks for a seed that
+// finds it.
+func TestGuardsAreMissed(t *testing.T) {
+	if !*guards {
+		t.Skip("takes many minutes; asked for with -soak.guards")
+	}
+	for _, g := range guardList {
+		t.Run(g.name, func(t *testing.T) {
+			t.Parallel()
+			program := g.build(t)
+			for seed := *first; seed < *first+seedsEach; seed++ {
+				if broken := playOnce(t, program, draw(seed)); len(broken) > 0 {
+					fmt.Printf("GUARD %s: seed %d: %s\n", g.name, seed, broken[0])
+					return
+				}
+			}
+			t.Errorf("no seed of %d found it", seedsEach)
+		})
+	}
+}
+
+// build compiles the program without the guard.
+func (g guard) build(t *testing.T) string {
+	root, err := filepath.Abs("../..")
+	require.NoError(t, err)
+	dir := t.TempDir()
+	path := filepath.Join(root, g.file)
+	raw, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.Equal(t, 1, strings.Count(string(raw), g.line), "the guard has moved")
+	changed := filepath.Join(dir, filepath.Base(g.file))
+	require.NoError(t, os.WriteFile(changed, []byte(strings.Replace(string(raw), g.line, g.without, 1)), 0o644))
+	overlay, err := json.Marshal(map[string]any{"Replace": map[string]string{path: changed}})
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "overlay.json"), overlay, 0o644))
+	program := filepath.Join(dir, "camphor-entry")
+	out, err := exec.Command("go", "build", "-overlay", filepath.Join(dir, "overlay.json"), "-o", program, "../../cmd/camphor-entry").CombinedOutput()
+	require.NoError(t, err, string(out))
+	return program
+}
--- /dev/null
+++ b/test/soak/promises_test.go
@@ -0,0 +1,301 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// run is one run of a request at a worker.
+type run struct {
+	attempt, account, worker, service, kind, path string
+	at                                            time.Time
+}
+
+// span is a time in which a router was disturbed.
+type span struct {
+	router     int
+	from, till time.Time // till is zero while it lasts
+}
+
+// notes is everything that callers and workers saw. It is safe for concurrent
+// use.
+type notes struct {
+	mu         sync.Mutex // guards all below
+	breaks     []string
+	runList    []run
+	events     map[string]int // largest event of an attempt that a worker made
+	requests   []*request
+	spans      []span
+	leavings   map[string]time.Time // by worker
+	revoking   map[string]time.Time // by key
+	recovering time.Time
+}
+
+func newNotes() *notes {
+	return &notes{events: map[string]int{}, leavings: map[string]time.Time{}, revoking: map[string]time.Time{}}
+}
+
+func (n *notes) broken(format string, args ...any) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.breaks = append(n.breaks, fmt.Sprintf(format, args...))
+}
+
+// runs notes a run; the returned call notes its events.
+func (n *notes) runs(r run) (event func(int)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.runList = append(n.runList, r)
+	return func(i int) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.events[r.attempt] = max(n.events[r.attempt], i)
+	}
+}
+
+func (n *notes) ended(q *request) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.requests = append(n.requests, q)
+}
+
+// disrupts notes that a router is disturbed until the returned call.
+func (n *notes) disrupts(router int) (end func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	i := len(n.spans)
+	n.spans = append(n.spans, span{router: router, from: time.Now()})
+	return func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.spans[i].till = time.Now()
+	}
+}
+
+func (n *notes) left(worker string, at time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leavings[worker] = at
+}
+
+func (n *notes) revoked(account, generation int, at time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.revoking[keyOf(account, generation)] = at
+}
+
+func (n *notes) recoveryBegins(at time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.recovering = at
+}
+
+// calm reports whether a router, or all of them, was undisturbed in a time and
+// for long enough before it.
+func (n *notes) calm(router int, from, till time.Time) bool {
+	for _, s := range n.spans {
+		if router != allRouters && s.router != allRouters && s.router != router {
+			continue
+		}
+		if s.from.Before(till) && (s.till.IsZero() || s.till.Add(settle).After(from)) {
+			return false
+		}
+	}
+	return true
+}
+
+// check returns the promises that were broken. All processes have ended.
+func (w *world) check() []string {
+	n := w.notes
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	runs := map[string][]run{}
+	for _, r := range n.runList {
+		runs[r.attempt] = append(runs[r.attempt], r)
+	}
+	out := append([]string(nil), n.breaks...)
+	out = append(out, n.checkBudgets(w.prepaid)...)
+	out = append(out, n.checkRuns(runs)...)
+	out = append(out, n.checkDrains()...)
+	out = append(out, n.checkAnswers(runs)...)
+	out = append(out, n.checkTimeouts()...)
+	return append(out, n.checkRecovery()...)
+}
+
+// checkBudgets: no account gets more than was paid for. An attempt's prompt
+// counts once, and each of its events.
+func (n *notes) checkBudgets(prepaid [accountCount]int64) (out []string) {
+	used := map[string]int64{}
+	counted := map[string]bool{}
+	for _, r := range n.runList {
+		if _, events := parsePath(r.path); events == 0 || counted[r.attempt] {
+			continue
+		}
+		counted[r.attempt] = true
+		used[r.account] += promptTokens + tokensPerEvent*int64(n.events[r.attempt])
+	}
+	for i, a := range accounts {
+		if used[a.name] > prepaid[i] {
+			out = append(out, fmt.Sprintf("account %s used %d of %d tokens", a.name, used[a.name], prepaid[i]))
+		}
+	}
+	return out
+}
+
+// checkRuns: what must not be repeated runs once, and only at its service.
+func (n *notes) checkRuns(runs map[string][]run) (out []string) {
+	asked := map[string]*request{}
+	for _, q := range n.requests {
+		asked[q.attempt] = q
+	}
+	for attempt, list := range runs {
+		q := asked[attempt]
+		if q == nil {
+			out = append(out, fmt.Sprintf("run of %q as %s, which nobody asked for", attempt, list[0].path))
+			continue
+		}
+		if len(list) > 1 && !q.repeats() {
+			out = append(out, fmt.Sprintf("%s of kind %s ran %d times", attempt, q.kind, len(list)))
+		}
+		for _, r := range list {
+			if other := strings.HasPrefix(r.service, "other"); other != (q.kind == "other") || r.path != q.path || r.account != accounts[q.account].name {
+				out = append(out, fmt.Sprintf("%s of kind %s ran at service %s as %s for %s", attempt, q.kind, r.service, r.path, r.account))
+			}
+		}
+	}
+	return out
+}
+
+// checkDrains: once all routers could know that a worker leaves, it gets
+// nothing new, whatever happens to the log after that.
+func (n *notes) checkDrains() (out []string) {
+	for _, r := range n.runList {
+		at, leaving := n.leavings[r.worker]
+		if !leaving || !n.calm(allRouters, at, at.Add(drainTimeout)) {
+			continue
+		}
+		if late := r.at.Sub(at.Add(drainTimeout)); late > 0 {
+			out = append(out, fmt.Sprintf("%s reached worker %s %v after its time to drain", r.attempt, r.worker, late))
+		}
+	}
+	return out
+}
+
+// checkAnswers: an answer is the worker's own and whole, "not run" is true, and
+// nobody is refused by old or no knowledge.
+func (n *notes) checkAnswers(runs map[string][]run) (out []string) {
+	for _, q := range n.requests {
+		if q.unsent {
+			continue
+		}
+		ran := len(runs[q.attempt]) > 0
+		says := func(what string) {
+			out = append(out, fmt.Sprintf("%s of kind %s at router-%d, %v after the start, status %d: %s", q.attempt, q.kind, q.router,
+				q.sent.Sub(n.requests[0].sent).Round(time.Millisecond), q.status, what))
+		}
+		switch q.status {
+		case http.StatusOK:
+			n.checkSuccess(q, ran, says)
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+			if ran && !q.repeats() {
+				says("it has run")
+			}
+		case http.StatusPaymentRequired:
+			if accounts[q.account].name == "rich" {
+				says("the account has tokens")
+			}
+		case http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound:
+			if !n.mayRefuse(q) {
+				says("the route and the key are in force")
+			}
+		}
+	}
+	return out
+}
+
+func (n *notes) checkSuccess(q *request, ran bool, says func(string)) {
+	if at, revoked := n.revoking[keyOf(q.account, q.generation)]; revoked && n.inForce(q, at) {
+		says("its key was taken away")
+	}
+	if !ran || q.header.Get("X-Camphorlever-Server-Seal") == "" || q.header.Get("X-Camphorlever-Attempt-Id") != q.attempt {
+		says("the answer is not a worker's answer to it")
+	}
+	if q.events == 0 {
+		if q.cut == nil && q.body != body(q.attempt, q.path) {
+			says("the answer is another one: " + q.body)
+		}
+		return
+	}
+	want := strings.Builder{}
+	for i := 1; i <= q.events; i++ {
+		fmt.Fprintf(&want, "id: %d\ndata: %s\n\n", i, q.attempt)
+	}
+	if !strings.HasPrefix(want.String(), q.body) {
+		says("events are missing, doubled or of another request")
+	}
+	if q.cut == nil && q.body != want.String() {
+		says("the stream looks complete and is not")
+	}
+}
+
+// mayRefuse reports whether a router may hold the request's key for unknown: it
+// was taken away, or is so new that not all need to know it.
+func (n *notes) mayRefuse(q *request) bool {
+	if _, revoked := n.revoking[keyOf(q.account, q.generation)]; revoked {
+		return true
+	}
+	if q.generation == 0 {
+		return false
+	}
+	return !n.inForce(q, n.revoking[keyOf(q.account, q.generation-1)])
+}
+
+// inForce reports whether the router of a request must have known of a change.
+func (n *notes) inForce(q *request, changed time.Time) bool {
+	return q.sent.After(changed.Add(settingsBound)) && n.calm(q.router, q.sent.Add(-settingsBound), q.sent)
+}
+
+// checkTimeouts: of the requests that are still open at their time, half at
+// least end within half a second.
+func (n *notes) checkTimeouts() (out []string) {
+	open, late := 0, 0
+	for _, q := range n.requests {
+		end := q.sent.Add(q.timeout())
+		if q.gone || q.ended.Before(end) || !n.calm(q.router, q.sent, end) {
+			continue
+		}
+		open++
+		if q.ended.After(end.Add(500 * time.Millisecond)) {
+			late++
+		}
+	}
+	if late >= 8 && late > open/2 {
+		out = append(out, fmt.Sprintf("%d of %d requests had no answer half a second after their time", late, open))
+	}
+	return out
+}
+
+// checkRecovery: when all troubles are over, nine in ten of the requests that
+// need no tokens are served.
+func (n *notes) checkRecovery() (out []string) {
+	asked, served := 0, 0
+	others := map[string]int{}
+	for _, q := range n.requests {
+		if q.sent.Before(n.recovering) || q.gone || q.events > 0 || n.mayRefuse(q) {
+			continue
+		}
+		asked++
+		if q.status == http.StatusOK && q.cut == nil {
+			served++
+		} else {
+			others[fmt.Sprintf("%s %d at router-%d", q.kind, q.status, q.router)]++
+		}
+	}
+	if served < asked*9/10 || asked == 0 {
+		out = append(out, fmt.Sprintf("%d of %d requests were served after all troubles, the others: %v", served, asked, others))
+	}
+	return out
+}
--- /dev/null
+++ b/test/soak/schedule_test.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Kind is a kind of fault.
+type Kind string
+
+// Kinds of faults. Those with a span end after it.
+const (
+	kill       Kind = "kill"       // a router is killed and starts again after the span
+	killAll    Kind = "kill-all"   // all routers are
+	pause      Kind = "pause"      // a router is stopped by a signal, and goes on
+	stop       Kind = "stop"       // a router is told to stop, and starts again once it has
+	reload     Kind = "reload"     // a router is told that its settings file changed
+	logCut     Kind = "log-cut"    // a router's connections to the log go silent, in the direction Way
+	logReset   Kind = "log-reset"  // they are reset, and new ones work
+	logDelay   Kind = "log-delay"  // bytes from and to the log are late
+	logFault   Kind = "log-fault"  // calls of all routers to the log fail as Way says
+	forget     Kind = "forget"     // the log drops its history
+	workerCut  Kind = "worker-cut" // a worker's connections go silent, in the direction Way
+	crash      Kind = "crash"      // a worker crashes; its entry goes, another comes
+	leave      Kind = "leave"      // a worker leaves as planned
+	reuse      Kind = "reuse"      // a worker of another service comes at a worker's address
+	grey       Kind = "grey"       // a worker fails as Way says
+	topUp      Kind = "top-up"     // all accounts get more tokens
+	revoke     Kind = "revoke"     // an account's key is replaced
+	foreign    Kind = "foreign"    // entries that nobody can read come into the streams
+	impatience Kind = "impatience" // callers leave early
+)
+
+// Fault is one fault of a schedule.
+type Fault struct {
+	At   int    `json:"at_ms"` // from the start of the load
+	Kind Kind   `json:"kind"`
+	For  int    `json:"for_ms,omitempty"`
+	N    int    `json:"n,omitempty"` // which router, worker or account
+	Way  string `json:"way,omitempty"`
+}
+
+// Schedule is what happens in one run.
+type Schedule struct {
+	Seed   uint64  `json:"seed"`
+	Faults []Fault `json:"faults"`
+}
+
+// Lengths of a run. Faults end before the load does, so that the callers see
+// what the routers make of the time after.
+const (
+	loadFor    = 9 * time.Second
+	faultsTill = 7500 // milliseconds
+	longest    = 4500 // milliseconds; outages of the log last as long
+)
+
+var ways = map[Kind][]string{
+	logCut:    {"both", "up", "down"},
+	logFault:  {"503", "429", "reset", "lost", "late", "silent", "garbled"},
+	workerCut: {"both", "up", "down"},
+	grey:      {"refuse", "fail", "hang-up", "half", "foreign", "extra", "cut-stream"},
+}
+
+var kinds = []Kind{kill, kill, killAll, pause, pause, stop, reload, logCut, logReset, logDelay, logFault, logFault, logFault, forget,
+	workerCut, crash, leave, leave, reuse, grey, grey, topUp, revoke, foreign, impatience}
+
+// draw makes the schedule of a seed: single faults, series of one kind, and
+// overlaps.
+func draw(seed uint64) Schedule {
+	r := rand.New(rand.NewPCG(seed, 0x50a4))
+	s := Schedule{Seed: seed}
+	for range 3 + r.IntN(6) {
+		f := Fault{At: r.IntN(faultsTill), Kind: kinds[r.IntN(len(kinds))], N: r.IntN(12)}
+		f.For = min(200+r.IntN(longest), faultsTill-f.At)
+		if list := ways[f.Kind]; list != nil {
+			f.Way = list[r.IntN(len(list))]
+		}
+		series := 1
+		if r.IntN(4) == 0 {
+			series = 2 + r.IntN(3)
+		}
+		for range series {
+			s.Faults = append(s.Faults, f)
+			f.At = min(f.At+100+r.IntN(700), faultsTill)
+			f.For = min(f.For, faultsTill-f.At)
+			f.N++
+		}
+	}
+	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return a.At - b.At })
+	return s
+}
+
+// load reads a schedule from a file that a failed run has left.
+func load(path string) (Schedule, error) {
+	var s Schedule
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return s, errors.Wrap(err, "schedule")
+	}
+	return s, errors.Wrapf(json.Unmarshal(raw, &s), "schedule %s", path)
+}
+
+func (s Schedule) save(path string) error {
+	raw, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "schedule")
+	}
+	return errors.Wrap(os.WriteFile(path, append(raw, '\n'), 0o644), "schedule")
+}
+
+func (f Fault) String() string {
+	return fmt.Sprintf("%s n=%d %s at %d ms for %d ms", f.Kind, f.N, f.Way, f.At, f.For)
+}
+
+// shrink leaves faults out as long as the schedule goes on failing.
+func shrink(s Schedule, fails func(Schedule) bool) Schedule {
+	for i := 0; i < len(s.Faults); {
+		fewer := Schedule{Seed: s.Seed, Faults: slices.Delete(slices.Clone(s.Faults), i, i+1)}
+		if fails(fewer) {
+			s = fewer
+		} else {
+			i++
+		}
+	}
+	return s
+}
