Homes write how fast they use an account, and hold less when it nears its end

A played load showed that hands held 38 to 64 % of what was left: the fleet's rate was taken from the growth of what was drawn, which is too low whenever hands shrink, so every router took itself for a larger part. Change: a home writes its own rate into the account's entry with each draw; the share of a router is its rate against the sum, from the first draws on instead of after 8 s. Together they hold 0.4 of what is left, as said, instead of 0.7: an account that will run out anyway gains nothing from full hands.

--- a/internal/prepaid/hands.go
+++ b/internal/prepaid/hands.go
@@ -340,11 +340,11 @@
 	s, need := h.tick(time.Now(), free, a.Prepaid)
 	h.saw(read)
 	s.free = free
-	s.fleet = g.ledger.FleetRate(a.Name)
 	fleet := g.fleet()
 	homes, home := g.homes(h)
 	s.home, s.homes, s.routers = home && fleet.Known, len(homes), len(fleet.Routers)
-	d := due{hand: h, need: need, change: Change{Account: a.Name, Paid: a.Prepaid, Version: version}}
+	s.others, s.told = g.ledger.OtherRates(a.Name)
+	d := due{hand: h, need: need, change: Change{Account: a.Name, Paid: a.Prepaid, Version: version, Home: home, Rate: s.rate}}
 	draw, low := s.draw()
 	if need > 0 {
 		d.change.Draw, d.urgent = max(need, draw), true
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,10 @@
 	Least int64
 	// Return is how many of the router's tokens are given back.
 	Return int64
+	// Rate is how many tokens a second a Home of the account uses, with what it
+	// lends.
+	Home bool
+	Rate float64
 }
 
 // Result is what became of a change.
@@ -77,12 +82,12 @@
 	log    Log
 	stream logservice.Stream
 	life   string
+	node   string // the part of the life's name that its successors share
 	logger zerolog.Logger
 	events *counter.Set
 
-	mu      sync.Mutex // guards entries, drains and read; only the caller of Apply changes them
+	mu      sync.Mutex // guards entries and read; only the caller of Apply changes them
 	entries map[string]entry
-	drains  map[string]*drain
 	read    time.Time    // when the entries were the newest
 	end     ident.Offset // up to which the entries are known; only Apply's caller uses it
 	loaded  bool         // the same
@@ -93,16 +98,17 @@
 }
 
 // NewLedger returns a ledger for one life of a router, whose name no other
-// life ever has.
+// life ever has. It begins with the node's name and a slash.
 func NewLedger(log Log, stream logservice.Stream, life string, logger zerolog.Logger) *Ledger {
+	node, _, _ := strings.Cut(life, "/")
 	return &Ledger{
 		log:     log,
 		stream:  stream,
 		life:    life,
+		node:    node,
 		logger:  logger.With().Str("part", "ledger").Logger(),
 		events:  counter.NewSet("ledger"),
 		entries: map[string]entry{},
-		drains:  map[string]*drain{},
 	}
 }
 
@@ -136,40 +142,18 @@
 	return l.entries[account].Drawn, l.read
 }
 
-// FleetRate returns how many tokens a second all routers use of an account, as
-// far as the growth of what they drew tells; zero as long as it is not known.
-func (l *Ledger) FleetRate(account string) float64 {
+// OtherRates returns how many tokens a second the other homes of an account use
+// together, and how many of them have said so.
+func (l *Ledger) OtherRates(account string) (tokens float64, homes int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if d := l.drains[account]; d != nil {
-		return d.rate
-	}
-	return 0
-}
-
-// drain follows how fast an account is drawn from.
-type drain struct {
-	since time.Time
-	drawn int64
-	rate  float64 // tokens a second
-}
-
-// drainSpan is over what time the rate of an account is taken: long against the
-// steps in which routers draw.
-const drainSpan = 4 * time.Second
-
-// follow takes in what was drawn of an account. The lock is held.
-func (l *Ledger) follow(account string, drawn int64) {
-	now := time.Now()
-	d := l.drains[account]
-	if d == nil {
-		l.drains[account] = &drain{since: now, drawn: drawn}
-		return
-	}
-	if elapsed := now.Sub(d.since); elapsed >= drainSpan {
-		d.rate = max(float64(drawn-d.drawn)/elapsed.Seconds(), 0)
-		d.since, d.drawn = now, drawn
+	for node, r := range l.entries[account].Rates {
+		if node != l.node {
+			tokens += r.Tokens
+			homes++
+		}
 	}
+	return tokens, homes
 }
 
 // Apply makes changes in one append. It goes on until it is known what became
@@ -261,9 +245,14 @@
 			results[i].Given = give
 		}
 		e.Drawn -= c.Return
-		if e.Drawn != before {
-			planned[c.Account] = e
+		if e.Drawn == before {
+			continue
+		}
+		e.Count++
+		if c.Home {
+			e.Rates = e.noted(l.node, c.Rate)
 		}
+		planned[c.Account] = e
 	}
 	return results, planned
 }
@@ -347,9 +336,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	maps.Copy(l.entries, planned)
-	for account, e := range planned {
-		l.follow(account, e.Drawn)
-	}
 	l.end, l.read = end, time.Now()
 }
 
@@ -379,7 +365,6 @@
 			mine = e.Life == l.life && e.Write == l.writes
 		}
 		l.entries[raw.Key] = e
-		l.follow(raw.Key, e.Drawn)
 	}
 	l.end = read[len(read)-1].Offset + 1
 	return mine, true, nil
--- a/internal/prepaid/record.go
+++ b/internal/prepaid/record.go
@@ -25,6 +25,31 @@
 	// finds out whether it took effect.
 	Life  string `msgpack:"l"`
 	Write uint64 `msgpack:"w"`
+	// Count is how often the entry was written.
+	Count uint64 `msgpack:"n"`
+	// Rates says how fast the account's homes use it, by node.
+	Rates map[string]rate `msgpack:"r,omitempty"`
+}
+
+// rate is what a home said of its use when it wrote the entry last.
+type rate struct {
+	Tokens float64 `msgpack:"t"` // a second
+	Count  uint64  `msgpack:"n"` // of the entry then
+}
+
+// rateLasts is for how many writes of an entry a rate counts: some rounds of
+// all homes, after which a home that has not written is gone or idle.
+const rateLasts = 24
+
+// noted returns the rates with one changed, without those that are outdated.
+func (e entry) noted(node string, tokens float64) map[string]rate {
+	rates := map[string]rate{node: {Tokens: tokens, Count: e.Count}}
+	for other, r := range e.Rates {
+		if other != node && e.Count-r.Count <= rateLasts {
+			rates[other] = r
+		}
+	}
+	return rates
 }
 
 func (e entry) encode() ([]byte, error) {
--- a/internal/prepaid/size.go
+++ b/internal/prepaid/size.go
@@ -16,7 +16,7 @@
 	firstShare = 0.16
 	// fleetShare is the part of what is left that all routers together hold at
 	// most; each holds of it what it uses of the account.
-	fleetShare = 0.7
+	fleetShare = 0.4
 	// nearSpan is for how long the tokens last that a router which is not a home
 	// of the account keeps in hand: it gets more from a home within
 	// milliseconds.
@@ -59,12 +59,13 @@
 	free  int64   // that anybody may draw
 	hand  int64   // in this router's hand
 	rate  float64 // tokens a second used here
-	fleet float64 // tokens a second used by all routers; zero if not known
 	bound int64   // of a large recent request
 
-	home    bool // this router draws for others
-	homes   int  // how many do
-	routers int  // that may hold tokens of the account
+	home    bool    // this router draws for others
+	homes   int     // how many do
+	others  float64 // tokens a second that other homes use
+	told    int     // how many of those have said so
+	routers int     // that may hold tokens of the account
 }
 
 // target returns how many tokens the router should have in hand.
@@ -74,14 +75,22 @@
 		return int64(s.rate * nearSpan.Seconds())
 	}
 	wanted := s.rate * horizon.Seconds()
-	if s.fleet <= 0 {
+	fleet := s.fleet()
+	if fleet <= 0 {
 		share := firstShare / float64(max(s.homes, 1)) * left
 		return int64(min(max(wanted, share), 2*share))
 	}
-	limit := fleetShare * min(s.rate/s.fleet, 1) * left
+	limit := fleetShare * s.rate / fleet * left
 	return int64(max(min(wanted, limit), floorShare*left))
 }
 
+// fleet returns how many tokens a second all routers use; homes that have not
+// said so are taken for average ones. It is zero if nothing is known.
+func (s situation) fleet() float64 {
+	known := float64(s.told + 1)
+	return (s.others + s.rate) * max(float64(s.homes)/known, 1)
+}
+
 // draw returns how many tokens to draw before they are needed, and whether that
 // is due; if not, it is worth doing along with another draw.
 func (s situation) draw() (tokens int64, due bool) {
