--- a/test/soak/workers_test.go
+++ b/test/soak/workers_test.go
@@ -65,6 +65,7 @@
 	text := body(r.Header.Get("X-Camphorlever-Attempt-Id"), r.URL.Path)
 	if grey == "foreign" {
 		r.Header.Set("X-Camphorlever-Attempt-Id", "somebody-else")
+		text = body("somebody-else", r.URL.Path)
 	}
 	answer := standin.AnswerHead(r, 200, fmt.Sprintf("Content-Length: %d\r\n\r\n", len(text))) + text
 	switch grey {
