Late in a stop a long stream is judged by its own length

A stream that came 4.65 s after SIGTERM, with 2.95 s left, was taken: the longest of its route of late times 1.5 was less. It may have 52 events, those before had 13 in the mean, and was cut after 3.07 s. Change: what a stream may take is its most events at the slowest pace of late, if that is more than the longest stream of late.

--- a/internal/entry/lastcall.go
+++ b/internal/entry/lastcall.go
@@ -14,10 +14,11 @@
 // same time, so that callers have nowhere else to go: what is short is served
 // to the end.
 type lastCall struct {
-	mu      sync.Mutex // guards all below
-	longest map[string]time.Duration
-	from    time.Time // until then everything is taken; zero: no stop
-	end     time.Time // when requests in progress are cut
+	mu      sync.Mutex               // guards all below
+	longest map[string]time.Duration // of late, by route
+	slowest map[string]time.Duration // from one event of a stream to the next, the same
+	from    time.Time                // until then everything is taken; zero: no stop
+	end     time.Time                // when requests in progress are cut
 }
 
 const (
@@ -27,13 +28,16 @@
 	// lengthDecay is what is left of the longest time with each request that
 	// took less, so that an outlier counts for some hundred requests.
 	lengthDecay = 0.995
+	// leastEvents is how many events a stream must have had for its pace to
+	// tell something of others.
+	leastEvents = 4
 	// elsewherePause is when a caller asks again that met a router which stops:
 	// the next connection leads to another one.
 	elsewherePause = 50 * time.Millisecond
 )
 
 func newLastCall() *lastCall {
-	return &lastCall{longest: map[string]time.Duration{}}
+	return &lastCall{longest: map[string]time.Duration{}, slowest: map[string]time.Duration{}}
 }
 
 // stop begins a stop.
@@ -50,7 +54,7 @@
 	}
 	out := next(ctx, r)
 	if out.Refusal == nil {
-		l.took(r.Passage.Route.Name, time.Since(r.Received))
+		l.took(r.Passage, time.Since(r.Received))
 	}
 	return out
 }
@@ -66,11 +70,30 @@
 	if !known {
 		length = p.Deadline.Sub(now)
 	}
+	length = max(length, time.Duration(mostEvents(p))*l.slowest[p.Route.Name])
 	return now.Add(time.Duration(lengthMargin * float64(length))).Before(l.end)
 }
 
-func (l *lastCall) took(route string, length time.Duration) {
+// mostEvents is how many events a stream may have; zero if that is not known.
+func mostEvents(p *filter.Passage) int64 {
+	if p.Service == nil || p.Service.Engine == nil || p.Service.Engine.TokensPerEvent <= 0 {
+		return 0
+	}
+	return p.Call.MaxOutput / p.Service.Engine.TokensPerEvent
+}
+
+// took takes in how long a request was in progress. A stream's length goes with
+// its events, so that a long one is not judged by short ones before it.
+func (l *lastCall) took(p *filter.Passage, length time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.longest[route] = max(length, time.Duration(lengthDecay*float64(l.longest[route])))
+	raise(l.longest, p.Route.Name, length)
+	if p.Delivered >= leastEvents {
+		raise(l.slowest, p.Route.Name, (length-p.FirstEvent)/time.Duration(p.Delivered-1))
+	}
+}
+
+// raise sets a route's largest value of late.
+func raise(largest map[string]time.Duration, route string, value time.Duration) {
+	largest[route] = max(value, time.Duration(lengthDecay*float64(largest[route])))
 }
--- a/test/soak/guards_test.go
+++ b/test/soak/guards_test.go
@@ -52,6 +52,7 @@
 		name: "an answer names its request", file: "internal/upstream/exchange.go",
 		line:    "if tells.Attempt == s.Attempt {",
 		without: "if true {",
+		faults:  []Fault{{At: 500, For: 3000, N: 0, Kind: grey, Way: "foreign"}, {At: 500, For: 3000, N: 1, Kind: grey, Way: "extra"}},
 	},
 }
 
