A stop leaves kept connections open until the end

At the start of a stop the HTTP library closes connections that it saw idle; one of them had just got a request. Change: connections are ended by their next answer, as before, but none is closed while it is idle. Before the last step, which does close them, every request that still comes is refused.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -29,7 +29,9 @@
 )
 
 // Stop serves on until no request is in progress or the grace period is nearly
-// over, and gives the tokens in hand back.
+// over, and gives the tokens in hand back. Connections on which nothing is in
+// progress stay open until the end: closing one races with the request that its
+// caller sends meanwhile. Each answer asks the caller to connect elsewhere.
 func (r *Router) Stop() {
 	begun := time.Now()
 	at := func(part float64) time.Time {
@@ -37,12 +39,13 @@
 	}
 	r.stopping.Store(true)
 	r.log.Info().Int64("active", r.active.Load()).Msg("router stops")
-	r.callers.SetKeepAlivesEnabled(false)
 	r.lastCall.stop(at(servePart), at(endPart))
 	time.Sleep(time.Until(at(leastPart)))
 	r.idle(at(releasePart))
 	r.release()
 	r.idle(at(endPart))
+	r.lastCall.stop(begun, begun) // what comes now is refused, since the next step may cut it
+	r.idle(at(endPart))
 	shutdown, end := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer end()
 	if err := r.callers.Shutdown(shutdown); err != nil {
