The soak's own state is free of races

Change: a worker that leaves or crashes is marked under the world's lock; what its connections read is set once under its own.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -173,12 +173,12 @@
 	if f.Kind == leave {
 		w.mu.Lock()
 		w.enter(old, old.way.address(), "draining")
-		old.service += " (left)" // it serves on to the end, for those that do not know yet
+		old.gone = true // it serves on to the end, for those that do not know yet
 		w.mu.Unlock()
 		w.notes.left(old.ID, time.Now())
 	} else {
 		w.mu.Lock()
-		old.service = "svc (crashed)"
+		old.gone = true
 		w.mu.Unlock()
 		old.Close()
 		old.way.reset()
--- a/test/soak/workers_test.go
+++ b/test/soak/workers_test.go
@@ -29,10 +29,10 @@
 // answer does what a backend server does with a request, and notes what it ran.
 func (w *worker) answer(n *notes, conn net.Conn, r *http.Request) {
 	w.mu.Lock()
-	grey := w.grey
+	grey, id := w.grey, w.ID
 	w.mu.Unlock()
-	if want := r.Header.Get("X-Camphorlever-Expect-Instance"); want != "" && want != w.ID {
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected\r\nX-Camphorlever-Not-Executed: 1\r\nX-Camphorlever-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", w.ID)
+	if want := r.Header.Get("X-Camphorlever-Expect-Instance"); want != "" && want != id {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected\r\nX-Camphorlever-Not-Executed: 1\r\nX-Camphorlever-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
 		return
 	}
 	if grey == "refuse" {
@@ -43,7 +43,7 @@
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // none is zero
 	done := n.runs(run{
 		attempt: r.Header.Get("X-Camphorlever-Attempt-Id"), account: r.Header.Get("X-Camphorlever-Tenant"),
-		worker: w.ID, service: w.service, kind: kind, path: r.URL.Path, at: time.Now(),
+		worker: id, service: w.service, kind: kind, path: r.URL.Path, at: time.Now(),
 	})
 	switch {
 	case grey == "hang-up":
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -60,11 +60,13 @@
 
 // worker is a backend server with the proxy through which it is reached.
 type worker struct {
-	*standin.Worker
 	service string
 	way     *proxy
-	mu      sync.Mutex // guards grey
-	grey    string
+	gone    bool // it leaves or has crashed; the world's lock guards it
+
+	mu              sync.Mutex // guards all below
+	*standin.Worker            // set once
+	grey            string
 }
 
 // router is a router on a VM of its own, over all its lives.
@@ -156,7 +158,9 @@
 		return err
 	}
 	w.next++
+	added.mu.Lock()
 	added.Worker = server
+	added.mu.Unlock()
 	if added.way, err = newProxy(server.Address); err != nil {
 		return err
 	}
@@ -177,7 +181,7 @@
 	defer w.mu.Unlock()
 	var serving []*worker
 	for _, each := range w.workers {
-		if each.service == "svc" {
+		if each.service == "svc" && !each.gone {
 			serving = append(serving, each)
 		}
 	}
