The soak starts a router once when two faults bring it back

Two faults that overlap both found the router down and started it; only the second process was known, the first was never ended and was waited for. Change: looking and starting are one step under a lock.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -122,6 +122,8 @@
 // again starts a router that is down. Faults overlap: another one may have done
 // so already.
 func (r *router) again() {
+	r.starting.Lock()
+	defer r.starting.Unlock()
 	r.mu.Lock()
 	running := true
 	select {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -75,6 +75,8 @@
 	toLog    *proxy
 	world    *world
 
+	starting sync.Mutex // held while it is decided whether a life is to begin
+
 	mu      sync.Mutex // guards all below
 	cmd     *exec.Cmd
 	over    chan struct{}
