--- a/internal/filter/spend/setup.go
+++ b/internal/filter/spend/setup.go
@@ -92,9 +92,9 @@
 	if !p.MayHaveRun {
 		return 0
 	}
-	stride := int64(1)
+	perEvent := int64(1)
 	if e := p.Service.Engine; e != nil {
-		stride = e.TokensPerEvent
+		perEvent = e.TokensPerEvent
 	}
-	return p.Call.PromptTokens + min(p.Delivered*stride, p.Call.MaxOutput)
+	return p.Call.PromptTokens + min(p.Delivered*perEvent, p.Call.MaxOutput)
 }
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/camphorlever/camphorlever/platform/standin"
 )
 
 // accountCount is how many client accounts call.
@@ -29,25 +31,22 @@
 
 const callerCount = 18
 
-// settingsText is a version of the operators' settings.
-func settingsText(version int, prepaid [accountCount]int64, keys [accountCount]int) string {
-	route := func(path, kind, service string, timeout time.Duration, more string) string {
-		return fmt.Sprintf(`{"name":"r-%s","host":"maps.example","path_prefix":"/%s/","route_kind":%q,"service":%q,"timeout_ms":%d,`+
-			`"target_latency_ms":100,"priority":1,"max_attempts":2,"gap_target_ms":100%s}`, path, path, kind, service, timeout.Milliseconds(), more)
-	}
-	routes := []string{
-		route("once", "non_idempotent", "svc", wholeTimeout, ""), route("safe", "idempotent", "svc", wholeTimeout, ""),
-		route("stream", "streaming", "svc", streamTimeout, ""), route("resume", "streaming", "svc", streamTimeout, `,"stream_resumption":true`),
-		route("other", "idempotent", "other", wholeTimeout, ""),
+// settingsOf is a version of the operators' settings.
+func settingsOf(version int, prepaid [accountCount]int64, keys [accountCount]int) standin.Settings {
+	s := standin.Settings{
+		Version: version, Services: []string{"svc", "other"}, TokensPerEvent: tokensPerEvent,
+		Routes: []standin.Route{
+			{Prefix: "once", Kind: standin.Once, Service: "svc", Timeout: wholeTimeout},
+			{Prefix: "safe", Kind: standin.Repeatable, Service: "svc", Timeout: wholeTimeout},
+			{Prefix: "stream", Kind: standin.Stream, Service: "svc", Timeout: streamTimeout},
+			{Prefix: "resume", Kind: standin.Stream, Service: "svc", Timeout: streamTimeout, Resumes: true},
+			{Prefix: "other", Kind: standin.Repeatable, Service: "other", Timeout: wholeTimeout},
+		},
 	}
-	var tenants []string
 	for i, a := range accounts {
-		tenants = append(tenants, fmt.Sprintf(`{"name":%q,"api_keys":[%q],"prepaid_tokens":%d}`, a.name, keyOf(i, keys[i]), prepaid[i]))
+		s.Accounts = append(s.Accounts, standin.Account{Name: a.name, Key: keyOf(i, keys[i]), Prepaid: prepaid[i]})
 	}
-	service := `{"name":%q,"connection_limit":200,"inference_engine":{"capacity_slots":4,"stride":%d}}`
-	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[`+service+`,`+service+`],`+
-		`"limits":{"max_body_bytes":1000,"max_header_bytes":16384},"tenants":[%s]}`,
-		version, strings.Join(routes, ","), "svc", tokensPerEvent, "other", tokensPerEvent, strings.Join(tenants, ","))
+	return s
 }
 
 func keyOf(account, generation int) string { return fmt.Sprintf("key-%d-%d", account, generation) }
@@ -127,24 +126,12 @@
 		time.AfterFunc(20*time.Millisecond, cancel)
 		q.gone = true
 	}
-	method := http.MethodPost
-	if q.kind == "safe" || q.kind == "other" {
-		method = http.MethodGet
-	}
-	call, err := http.NewRequestWithContext(ctx, method, "http://"+w.routers[q.router].ip+":8227"+q.path, nil)
+	call, err := w.callOf(q).Request()
 	if err != nil {
-		w.notes.broken("request %s: %v", q.attempt, err)
+		w.notes.broken("%v", err)
 		return
 	}
-	call.Host = "maps.example"
-	call.GetBody = nil // nothing is sent again by itself
-	call.Header.Set("X-Camphorlever-Attempt-Id", q.attempt)
-	call.Header.Set("Authorization", "Token "+keyOf(q.account, q.generation))
-	if q.events > 0 {
-		call.Header.Set("X-Camphorlever-Model", "m")
-		call.Header.Set("X-Camphorlever-Token-Usage", fmt.Sprintf("%d,%d", promptTokens, q.events*tokensPerEvent))
-		call.Header.Set("X-Camphorlever-Prompt-Prefix", "aa:60,"+q.attempt[:1]+"b:40")
-	}
+	call = call.WithContext(ctx)
 	q.sent = time.Now()
 	reply, err := transport.RoundTrip(call)
 	if err == nil {
@@ -157,3 +144,19 @@
 	q.unsent = err != nil && q.status == 0 && strings.Contains(err.Error(), "connect")
 	w.notes.ended(q)
 }
+
+// callOf is a request as it goes to its router.
+func (w *world) callOf(q *request) standin.Call {
+	c := standin.Call{
+		Method: http.MethodPost, Router: w.routers[q.router].vm.CallersAddress(), Host: standin.Host, Path: q.path,
+		Attempt: q.attempt, Key: keyOf(q.account, q.generation),
+	}
+	if q.kind == "safe" || q.kind == "other" {
+		c.Method = http.MethodGet
+	}
+	if q.events > 0 {
+		c.Output = int64(q.events) * tokensPerEvent
+		c.Prompt = []standin.Part{{ID: "aa", Tokens: sharedTokens}, {ID: q.attempt[:1] + "b", Tokens: promptTokens - sharedTokens}}
+	}
+	return c
+}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -13,7 +13,7 @@
 )
 
 // logPaths are the calls of routers to the log.
-var logPaths = []string{"/camphorlever/log-append", "/camphorlever/log-read", "/camphorlever/log-newest"}
+var logPaths = []string{standin.PathAppend, standin.PathRead, standin.PathNewest}
 
 // play runs a schedule under load and returns the promises that were broken.
 func (w *world) play(s Schedule) []string {
@@ -78,7 +78,7 @@
 		w.notes.revoked(account, old, at)
 	case foreign:
 		w.store.Raw(platform.StreamServers, []byte{9, 'x'})
-		w.store.Put(platform.StreamServers, "i-77", `{"service":7,"address":"nowhere"}`)
+		w.store.Put(platform.StreamServers, "i-77", standin.Unreadable)
 		w.store.Put(platform.StreamOperator, "unknown", "no settings")
 	case impatience:
 		impatient.Store(true)
@@ -158,7 +158,7 @@
 
 func (w *world) failLog(fault standin.Fault, span time.Duration) {
 	for _, path := range logPaths {
-		if (fault == standin.Lost || fault == standin.Late) && path != logPaths[0] {
+		if (fault == standin.Lost || fault == standin.Late) && path != standin.PathAppend {
 			continue
 		}
 		w.store.Set(path, fault)
@@ -174,7 +174,7 @@
 	old := w.worker(f.N)
 	if f.Kind == leave {
 		w.mu.Lock()
-		w.enter(old, old.way.address(), "draining")
+		w.enter(old, standin.Draining)
 		old.gone = true // it serves on to the end, for those that do not know yet
 		w.mu.Unlock()
 		w.notes.left(old.ID, time.Now())
--- a/test/soak/promises_test.go
+++ b/test/soak/promises_test.go
@@ -6,12 +6,14 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/camphorlever/camphorlever/platform/standin"
 )
 
 // run is one run of a request at a worker.
 type run struct {
-	attempt, account, worker, service, kind, path string
-	at                                            time.Time
+	attempt, account, worker, service, path string
+	at                                      time.Time
 }
 
 // span is a time in which a router was disturbed.
@@ -126,7 +128,7 @@
 	var got [accountCount]int64
 	for _, q := range n.requests {
 		if q.events > 0 && len(runs[q.attempt]) > 0 {
-			got[q.account] += promptTokens + tokensPerEvent*int64(strings.Count(q.body, "id: "))
+			got[q.account] += promptTokens + tokensPerEvent*int64(standin.Events(q.body))
 		}
 	}
 	for i, a := range accounts {
@@ -212,7 +214,7 @@
 	if at, revoked := n.revoking[keyOf(q.account, q.generation)]; revoked && n.inForce(q, at) {
 		says("its key was taken away")
 	}
-	if !ran || q.header.Get("X-Camphorlever-Server-Seal") == "" || q.header.Get("X-Camphorlever-Attempt-Id") != q.attempt {
+	if !ran || !standin.FromWorker(q.header, q.attempt) {
 		says("the answer is not a worker's answer to it")
 	}
 	if q.events == 0 {
@@ -223,7 +225,7 @@
 	}
 	want := strings.Builder{}
 	for i := 1; i <= q.events; i++ {
-		fmt.Fprintf(&want, "id: %d\ndata: %s\n\n", i, q.attempt)
+		want.WriteString(standin.Event(i, q.attempt))
 	}
 	if !strings.HasPrefix(want.String(), q.body) {
 		says("events are missing, doubled or of another request")
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -71,9 +71,9 @@
 
 // router is a router on a VM of its own, over all its lives.
 type router struct {
-	name, ip string
-	toLog    *proxy
-	world    *world
+	vm    standin.VM
+	toLog *proxy
+	world *world
 
 	starting sync.Mutex // held while it is decided whether a life is to begin
 
@@ -106,7 +106,10 @@
 		if err != nil {
 			return nil, err
 		}
-		r := &router{name: fmt.Sprintf("router-%d", i), ip: fmt.Sprintf("%s.%d", w.network, 10+i), toLog: toLog, world: w}
+		r := &router{toLog: toLog, world: w, vm: standin.VM{
+			Node: fmt.Sprintf("router-%d", i), IP: fmt.Sprintf("%s.%d", w.network, 10+i), LogAddress: w.store.Address(),
+			SettingsBound: settingsBound, DrainTimeout: drainTimeout, Grace: grace, Settle: settle,
+		}}
 		w.routers = append(w.routers, r)
 		if err := r.configure(); err != nil {
 			return nil, err
@@ -136,7 +139,7 @@
 
 // publish writes a version of the operators' settings.
 func (w *world) publish() {
-	w.store.Put(platform.StreamOperator, platform.KeySettings, settingsText(w.version, w.prepaid, w.keys))
+	w.store.Put(platform.StreamOperator, platform.KeySettings, settingsOf(w.version, w.prepaid, w.keys).Text())
 }
 
 // change publishes a new version.
@@ -167,14 +170,14 @@
 		return err
 	}
 	w.workers = append(w.workers, added)
-	w.enter(added, added.way.address(), "ready")
+	w.enter(added, standin.Ready)
 	return nil
 }
 
 // enter writes a worker's entry. The lock is held.
-func (w *world) enter(of *worker, address, state string) {
+func (w *world) enter(of *worker, state standin.State) {
 	w.sequence++
-	w.store.Put(platform.StreamServers, of.ID, of.Entry(address, of.service, state, w.sequence))
+	w.store.Put(platform.StreamServers, of.ID, of.Entry(of.way.address(), of.service, state, w.sequence))
 }
 
 // worker returns one of the workers of the service that callers use.
@@ -205,38 +208,14 @@
 
 // configure writes the settings file.
 func (r *router) configure() error {
-	text := fmt.Sprintf(`node_name = %q
-zone = "waco-a"
-ip_address = %q
-internal_port_range = [7340, 7355]
-heartbeat_interval_ms = 1200
-[listen_addresses]
-frontend = "%s:8227"
-ready = "%s:8220"
-[limits]
-cpu_cores = 1
-memory_mb = 200
-[contract_params]
-config_apply_ms = %d
-drain_timeout_ms = %d
-grace_period_s = %d
-settle_window_ms = %d
-retry_budget_ratio = 0.2
-retry_budget_extra = 100
-retry_window_s = 10
-delivery_timeout_ms = 200
-[platform]
-address = %q
-`, r.name, r.ip, r.ip, r.ip, settingsBound.Milliseconds(), drainTimeout.Milliseconds(), int(grace.Seconds()), settle.Milliseconds(),
-		r.world.store.Address())
-	return errors.Wrap(os.WriteFile(r.settings(), []byte(text), 0o644), "settings file")
+	return errors.Wrap(os.WriteFile(r.settings(), []byte(r.vm.File()), 0o644), "settings file")
 }
 
-func (r *router) settings() string { return filepath.Join(r.world.dir, r.name+".toml") }
+func (r *router) settings() string { return filepath.Join(r.world.dir, r.vm.Node+".toml") }
 
 // start begins a life of the router.
 func (r *router) start() error {
-	out, err := os.OpenFile(filepath.Join(r.world.dir, r.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	out, err := os.OpenFile(filepath.Join(r.world.dir, r.vm.Node+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return errors.Wrap(err, "log of a router")
 	}
@@ -248,7 +227,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err := cmd.Start(); err != nil {
-		return errors.Wrap(err, r.name)
+		return errors.Wrap(err, r.vm.Node)
 	}
 	over := make(chan struct{})
 	r.cmd, r.over, r.wanted, r.stopped = cmd, over, true, false
@@ -258,7 +237,7 @@
 		own := r.cmd == cmd && r.wanted
 		r.mu.Unlock()
 		if own {
-			r.world.notes.broken("%s ended by itself: %v", r.name, err)
+			r.world.notes.broken("%s ended by itself: %v", r.vm.Node, err)
 		}
 		close(over)
 	})
@@ -289,7 +268,7 @@
 	select {
 	case <-over:
 	case <-time.After(grace):
-		r.world.notes.broken("%s did not stop within %v", r.name, grace)
+		r.world.notes.broken("%s did not stop within %v", r.vm.Node, grace)
 		r.kill()
 	}
 }
@@ -297,7 +276,7 @@
 var probes = &http.Client{Timeout: 300 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 
 func (r *router) ready() bool {
-	reply, err := probes.Get("http://" + r.ip + ":8220" + platform.PathReady)
+	reply, err := probes.Get("http://" + r.vm.ReadyAddress() + platform.PathReady)
 	if err != nil {
 		return false
 	}
