One rendezvous order for servers and for accounts' homes

Cause: placement had the order already when the homes of accounts wrote it again. Two tests of the budget share their setting up.

--- a/internal/budget/drain_test.go
+++ b/internal/budget/drain_test.go
@@ -37,15 +37,22 @@
 	require.NotEmpty(t, code, "nothing is admitted any more")
 }
 
-// The ledger bills a key once: what a second run of it has used is not billed,
-// and may not stay in the grant.
-func TestDrainGivesBackWhatWasNotBilled(t *testing.T) {
-	w := newWorld(t, 2, testPolicy)
+// borrowed is a run of 300 tokens at router 1 under the grant of router 2, which
+// holds all 1000.
+func borrowed(t *testing.T) (w *world, lender, borrower *Grants, r Reservation) {
+	w = newWorld(t, 2, testPolicy)
 	w.topUp("x", 1000)
-	lender, borrower := w.routers[2], w.routers[1]
+	lender, borrower = w.routers[2], w.routers[1]
 	lender.Settle(w.mustAcquire(2, 1000), 0)
-	r := w.mustAcquire(1, 300)
+	r = w.mustAcquire(1, 300)
 	require.EqualValues(t, 2, r.Holder())
+	return w, lender, borrower, r
+}
+
+// The ledger bills a key once: what a second run of it has used is not billed,
+// and may not stay in the grant.
+func TestDrainGivesBackWhatWasNotBilled(t *testing.T) {
+	w, lender, borrower, r := borrowed(t)
 	borrower.Settle(r, 100)
 	borrower.Refund("a", r.Holder(), 100)
 	lender.Settle(w.mustAcquire(2, 50), 50)
@@ -59,12 +66,7 @@
 }
 
 func TestDrainWaitsForLoans(t *testing.T) {
-	w := newWorld(t, 2, testPolicy)
-	w.topUp("x", 1000)
-	lender, borrower := w.routers[2], w.routers[1]
-	lender.Settle(w.mustAcquire(2, 1000), 0)
-	r := w.mustAcquire(1, 300)
-	require.EqualValues(t, 2, r.Holder())
+	w, lender, borrower, r := borrowed(t)
 	require.Error(t, lender.Drain(over()), "the borrower has 300")
 	borrower.Settle(r, 100)
 	require.NoError(t, borrower.Drain(context.Background()), "the unused 200 are repaid")
--- a/internal/placement/subset.go
+++ b/internal/placement/subset.go
@@ -1,13 +1,10 @@
 package placement
 
 import (
-	"cmp"
 	"encoding/binary"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/rendezvous"
 )
 
 // HomeCount is the number of home gates of a key.
@@ -31,28 +28,5 @@
 
 // first returns the first servers in the rendezvous order of a seed.
 func first(seed []byte, servers []*Server, size int) []*Server {
-	type scored struct {
-		server *Server
-		score  uint64
-	}
-	all := make([]scored, len(servers))
-	digest := xxhash.New()
-	for i, s := range servers {
-		digest.Reset()
-		digest.Write(seed)
-		digest.WriteString(string(s.ID))
-		all[i] = scored{server: s, score: digest.Sum64()}
-	}
-	slices.SortFunc(all, func(a, b scored) int {
-		if order := cmp.Compare(b.score, a.score); order != 0 {
-			return order
-		}
-		return cmp.Compare(a.server.ID, b.server.ID)
-	})
-	size = min(size, len(all))
-	picked := make([]*Server, size)
-	for i := range picked {
-		picked[i] = all[i].server
-	}
-	return picked
+	return rendezvous.First(seed, servers, size, func(s *Server) string { return string(s.ID) })
 }
--- a/internal/prepaid/home.go
+++ b/internal/prepaid/home.go
@@ -1,10 +1,9 @@
 package prepaid
 
 import (
-	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/camphorlever/camphorlever/internal/rendezvous"
 )
 
 // homeRouters is how many routers draw an account's tokens from the ledger; the
@@ -17,22 +16,7 @@
 // homesOf returns the homes of an account among the routers, best first, in the
 // rendezvous order of the account: a router that comes or goes changes one.
 func homesOf(account string, routers []string) []string {
-	type scored struct {
-		router string
-		score  uint64
-	}
-	all := make([]scored, len(routers))
-	for i, r := range routers {
-		all[i] = scored{router: r, score: xxhash.Sum64String(r + "/" + account)}
-	}
-	slices.SortFunc(all, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.router, b.router))
-	})
-	homes := make([]string, min(homeRouters, len(all)))
-	for i := range homes {
-		homes[i] = all[i].router
-	}
-	return homes
+	return rendezvous.First([]byte(account), routers, homeRouters, func(name string) string { return name })
 }
 
 // Fleet is the routers as one of them knows them.
