Servers that are slow, failing or replaced get less work

Servers had crashed behind a cut and another one answered at their address; each router chose them again and again, as a refusal told the placement nothing. Slow and partly failing servers got their share too, as a failure that came as an answer counted for a good one. Change: a server whose address belongs to another one is avoided until a newer entry; the caller is told to come back at once (503), as others can serve it. The time to the first answer and the share of failures of each server are compared with those of its service; a server that falls behind counts as fuller. What the router knows of servers that are gone is dropped (it was kept for good).

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -1,7 +1,8 @@
 // Package affinity places requests on backend servers: those that share a
 // prompt part go to the same server, as long as it is not much fuller than the
 // others. It answers a load in which reading a long shared part again costs far
-// more than a short wait, and in which every router sees an equal mix.
+// more than a short wait, and in which every router sees an equal mix. Servers
+// that answer slowly or fail requests count as fuller than they are.
 package affinity
 
 import (
@@ -41,21 +42,25 @@
 type Placer struct {
 	dataCentre string
 
-	mu    sync.Mutex // guards the map and what it points to
-	nodes map[string]*node
+	mu       sync.Mutex // guards all below and what it points to
+	nodes    map[string]*node
+	services map[string]*usual
 }
 
 // node is what a router knows of one server from its own requests.
 type node struct {
 	born     int64
 	inFlight int
-	failures int // in a row
-	suspect  time.Time
+	failures int       // in a row
+	suspect  time.Time // until then it is avoided
+	sequence int64     // of its newest entry
+	replaced bool      // another server has the address of that entry
+	health   health
 }
 
 // New returns a placer of a router in a data centre.
 func New(dataCentre string) *Placer {
-	return &Placer{dataCentre: dataCentre, nodes: map[string]*node{}}
+	return &Placer{dataCentre: dataCentre, nodes: map[string]*node{}, services: map[string]*usual{}}
 }
 
 // Placed is a request at a server. Done is called once.
@@ -65,10 +70,12 @@
 	// all candidates.
 	InFlight int
 	Mean     float64
-	Suspect  bool // it has failed lately, and so have all others
+	Burden   float64 // how much fuller the server counts for being slow or failing
+	Suspect  bool    // it has failed lately, and so have all others
 
 	placer *Placer
 	node   *node
+	usual  *usual
 }
 
 // Pick chooses one of the servers and counts the request there. It returns
@@ -82,6 +89,8 @@
 		return nil, false
 	}
 	mean := float64(total) / float64(len(candidates))
+	usual := p.usual(servers[0].Service)
+	usual.burdens(candidates, now)
 	var best candidate
 	if q.Key == "" {
 		best = p.leastLoaded(candidates)
@@ -89,8 +98,8 @@
 		best = preferred(candidates, q.Key, loadBound*mean+loadSlack)
 	}
 	placed := &Placed{
-		Server: best.server, InFlight: best.node.inFlight, Mean: mean, Suspect: now.Before(best.node.suspect),
-		placer: p, node: best.node,
+		Server: best.server, InFlight: best.node.inFlight, Mean: mean, Burden: best.burden, Suspect: best.node.avoided(now),
+		placer: p, node: best.node, usual: usual,
 	}
 	best.node.inFlight++
 	return placed, true
@@ -99,6 +108,13 @@
 type candidate struct {
 	server membership.Server
 	node   *node
+	burden float64
+}
+
+// load is how full a candidate counts. A burdened one counts as busy even if
+// nothing is in flight there.
+func (c candidate) load() float64 {
+	return float64(c.node.inFlight+1)*c.burden - 1
 }
 
 // candidates lists the servers that were not tried; suspects only if there is
@@ -110,11 +126,11 @@
 			continue
 		}
 		n := p.node(s)
-		if now.Before(n.suspect) {
-			suspects = append(suspects, candidate{s, n})
+		if n.avoided(now) {
+			suspects = append(suspects, candidate{server: s, node: n})
 			continue
 		}
-		list = append(list, candidate{s, n})
+		list = append(list, candidate{server: s, node: n})
 		total += n.inFlight
 	}
 	if len(list) > 0 {
@@ -142,19 +158,37 @@
 		n = &node{born: s.Born}
 		p.nodes[s.ID] = n
 	}
+	if s.Sequence > n.sequence {
+		n.sequence, n.replaced = s.Sequence, false
+	}
 	return n
 }
 
+// usual returns what is known of all servers of a service. The lock is held.
+func (p *Placer) usual(service string) *usual {
+	u := p.services[service]
+	if u == nil {
+		u = newUsual()
+		p.services[service] = u
+	}
+	return u
+}
+
+// avoided reports whether a server gets work only if there is no other.
+func (n *node) avoided(now time.Time) bool {
+	return n.replaced || now.Before(n.suspect)
+}
+
 // preferred returns the candidate that a key prefers most among those that are
 // not too full.
 func preferred(candidates []candidate, key string, bound float64) candidate {
 	best, bestScore := -1, uint64(0)
 	least := 0
 	for i, c := range candidates {
-		if c.node.inFlight < candidates[least].node.inFlight {
+		if c.load() < candidates[least].load() {
 			least = i
 		}
-		if float64(c.node.inFlight) > bound {
+		if c.load() > bound {
 			continue
 		}
 		if score := xxhash.Sum64String(c.server.ID + "/" + key); best < 0 || score > bestScore {
@@ -174,7 +208,7 @@
 	best := candidates[from]
 	for k := 1; k < len(candidates); k++ {
 		c := candidates[(from+k)%len(candidates)]
-		a, b := c.node.inFlight*best.server.Slots, best.node.inFlight*c.server.Slots
+		a, b := c.load()*float64(best.server.Slots), best.load()*float64(c.server.Slots)
 		if a < b || (a == b && c.server.DataCentre == p.dataCentre && best.server.DataCentre != p.dataCentre) {
 			best = c
 		}
@@ -189,12 +223,36 @@
 	p.node.inFlight--
 }
 
-// Answered notes that the server answered.
-func (p *Placed) Answered() {
+// Began notes the first part of an answer to a request of a route, which came
+// some time after the request was sent.
+func (p *Placed) Began(route string, delay time.Duration) {
+	p.placer.mu.Lock()
+	defer p.placer.mu.Unlock()
+	p.usual.answered(&p.node.health, route, delay, time.Now())
+}
+
+// Answered notes that the server answered, and whether with a failure.
+func (p *Placed) Answered(failed bool) {
 	p.placer.mu.Lock()
 	defer p.placer.mu.Unlock()
 	p.node.failures = 0
 	p.node.suspect = time.Time{}
+	p.usual.ended(&p.node.health, failed, time.Now())
+}
+
+// Refused notes that the server did not run the request.
+func (p *Placed) Refused() {
+	p.placer.mu.Lock()
+	defer p.placer.mu.Unlock()
+	p.usual.ended(&p.node.health, true, time.Now())
+}
+
+// Replaced notes that another server has the address. The entry of the server is
+// old, and it is avoided until there is a newer one.
+func (p *Placed) Replaced() {
+	p.placer.mu.Lock()
+	defer p.placer.mu.Unlock()
+	p.node.replaced = p.Server.Sequence == p.node.sequence
 }
 
 // Failed notes that the server could not be reached or broke off, and returns
@@ -208,8 +266,9 @@
 	return pause
 }
 
-// Keep forgets the servers that are not kept.
+// Keep forgets the servers that are not kept, and routes without requests.
 func (p *Placer) Keep(kept func(id string) bool) {
+	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, n := range p.nodes {
@@ -217,4 +276,7 @@
 			delete(p.nodes, id)
 		}
 	}
+	for _, u := range p.services {
+		u.forget(now)
+	}
 }
--- a/internal/affinity/affinity_test.go
+++ b/internal/affinity/affinity_test.go
@@ -93,7 +93,7 @@
 		again, _ := p.Pick(servers, Query{Key: "k"})
 		require.Equal(t, first.Server.ID, again.Server.ID)
 		require.Equal(t, 2*suspectFor, again.Failed(), "it is avoided longer the second time")
-		again.Answered()
+		again.Answered(false)
 		third, _ := p.Pick(servers, Query{Key: "k"})
 		require.Equal(t, first.Server.ID, third.Server.ID, "it answers again")
 	})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -292,6 +292,7 @@
 		case <-ticker.C:
 			r.table.Settle()
 			r.pool.Keep(r.table.Usable)
+			r.placer.Keep(r.table.Known)
 		}
 	}
 }
--- a/internal/filter/forward/attempt.go
+++ b/internal/filter/forward/attempt.go
@@ -30,6 +30,7 @@
 
 var (
 	errSilent   = errors.New("server is silent")
+	errReplaced = errors.New("another server has the address")
 	errUnsealed = errors.New("success without the server's seal")
 )
 
@@ -49,6 +50,7 @@
 	defer silence.stop()
 
 	send := run.send(placed)
+	begun := time.Now()
 	exchange, err := run.handler.Pool.Do(ctx, send)
 	if err != nil {
 		return run.broken(ctx, err)
@@ -59,8 +61,9 @@
 	}
 	p.MayHaveRun = true
 	if streams(p.Route) && exchange.Status == http.StatusOK {
-		return run.stream(ctx, exchange, silence)
+		return run.stream(ctx, exchange, silence, func() { placed.Began(p.Route.Name, time.Since(begun)) })
 	}
+	placed.Began(p.Route.Name, time.Since(begun))
 	return run.whole(ctx, exchange)
 }
 
@@ -111,6 +114,9 @@
 	_, err := io.Copy(io.Discard, io.LimitReader(e, maxHeld))
 	e.Close(err == nil)
 	cause := errors.Errorf("server refused with status %d", e.Status)
+	if e.Tells.WrongServer {
+		cause = errReplaced
+	}
 	if run.request.Writer.Started() {
 		return result{verdict: cutOff, cause: cause}
 	}
--- a/internal/filter/forward/handler.go
+++ b/internal/filter/forward/handler.go
@@ -200,6 +200,10 @@
 		return filter.Refused(refusal.DeadlineExceeded, refusal.Unknown, "The server did not answer in time.")
 	case p.MayHaveRun:
 		return run.unknown("The server did not answer.")
+	case errors.Is(r.cause, errReplaced):
+		out := notRun(refusal.NoServer, "The server was replaced.")
+		out.Refusal.RetryAfter = 0 // the others are not affected
+		return out
 	case r.verdict == notExecuted:
 		return notRun(refusal.Overloaded, "The servers are full.")
 	default:
@@ -228,7 +232,7 @@
 	candidates := len(run.handler.Servers.Of(run.passage.Service.Name))
 	run.request.Note("server chosen", func(e *zerolog.Event) {
 		e.Str("server", placed.Server.ID).Str("address", placed.Server.Address).Int64("entry", placed.Server.Sequence).
-			Str("cache_key", key).Int("in_flight", placed.InFlight).Float64("mean", placed.Mean).
+			Str("cache_key", key).Int("in_flight", placed.InFlight).Float64("mean", placed.Mean).Float64("burden", placed.Burden).
 			Int("candidates", candidates).Bool("suspect", placed.Suspect)
 	})
 }
@@ -240,9 +244,15 @@
 	run.handler.counters.Inc("attempt_" + p.Ended)
 	var avoided time.Duration
 	switch {
+	case errors.Is(result.cause, errReplaced):
+		placed.Replaced()
+		run.handler.Log.Info().Str("server", placed.Server.ID).Str("address", placed.Server.Address).
+			Int64("entry", placed.Server.Sequence).Msg("server was replaced")
 	case result.verdict == delivered || result.verdict == failedByRun:
-		placed.Answered()
-	case result.verdict != notExecuted && ctx.Err() == nil && !errors.Is(result.cause, errCallerGone):
+		placed.Answered(result.verdict == failedByRun)
+	case result.verdict == notExecuted:
+		placed.Refused()
+	case ctx.Err() == nil && !errors.Is(result.cause, errCallerGone):
 		avoided = placed.Failed()
 		run.handler.Log.Info().Str("server", placed.Server.ID).Str("address", placed.Server.Address).
 			Dur("avoided", avoided).AnErr("cause", result.cause).Msg("server is suspect")
--- a/internal/filter/forward/stream.go
+++ b/internal/filter/forward/stream.go
@@ -15,14 +15,15 @@
 
 var errOutOfOrder = errors.New("events are out of order")
 
-// stream hands the events of a stream on as they come.
-func (run *passage) stream(ctx context.Context, e *upstream.Exchange, silence silence) result {
+// stream hands the events of a stream on as they come. It calls began with the
+// first of them.
+func (run *passage) stream(ctx context.Context, e *upstream.Exchange, silence silence, began func()) result {
 	if !e.Tells.Sealed || e.Tells.Encoded {
 		e.Close(false)
 		return run.unusable(ctx, errUnsealed)
 	}
 	scanner := eventstream.NewScanner(e)
-	for {
+	for first := true; ; first = false {
 		events, err := scanner.Next()
 		if errors.Is(err, io.EOF) {
 			e.Close(true)
@@ -32,6 +33,9 @@
 			e.Close(false)
 			return run.unusable(ctx, err)
 		}
+		if first {
+			began()
+		}
 		silence.heard(gapLimit(run.passage.Route))
 		fresh, err := run.fresh(events)
 		if err != nil {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -70,6 +70,14 @@
 	return false
 }
 
+// Known reports whether an id names a server that is not gone.
+func (t *Table) Known(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.known[id]
+	return e != nil && !e.gone
+}
+
 // Put takes in an entry.
 func (t *Table) Put(s Server) {
 	t.change(func() { t.put(s) })
