A load of many entries goes on where it failed

Cause: 300 routers before 3,000 servers, all killed: each reads 1.2 MB of newest entries at its start, together more than the log's shared 80 MB/s gives in four seconds. Calls went silent for 0.7 s, and each such call began the whole load anew. Change: the pages that were read stay, and the next call goes on behind them. Above 100 entries a first read is one line of the log, not one an entry (900,000 lines of 300 routers before). Test: ten pages from a log of which each third call fails; no page is read twice. Before, the load never ended.

--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -14,6 +14,10 @@
 // it was away may take to come back; the platform promises about two seconds.
 const returnGrace = 2 * time.Second
 
+// detailAtLoad is up to how many entries that are read together are logged one by
+// one: some seconds of what the log lines may take.
+const detailAtLoad = 100
+
 // rememberGone is how long an id that went is remembered, so that an older entry
 // of it is not taken for a new one: far longer than any read of the log is late.
 const rememberGone = 10 * time.Minute
@@ -28,6 +32,7 @@
 	known     map[string]*entry
 	touched   map[string]struct{} // ids that changed and are not published yet
 	listed    map[string]Server   // as published
+	terse     bool                // entries are not logged one by one
 	away      bool                // the store cannot be read
 	returned  time.Time           // when it could be read again
 	current   atomic.Pointer[map[string][]Server]
@@ -103,7 +108,10 @@
 // removed.
 func (t *Table) Reset(updates ...Update) {
 	t.change(func() {
+		t.terse = len(updates) > detailAtLoad
 		t.apply(updates)
+		t.terse = false
+		t.log.Info().Int("entries", len(updates)).Msg("servers read")
 		present := make(map[string]struct{}, len(updates))
 		for _, u := range updates {
 			present[u.ID] = struct{}{}
@@ -143,6 +151,9 @@
 	}
 	t.known[s.ID] = &entry{server: s}
 	t.touched[s.ID] = struct{}{}
+	if t.terse {
+		return
+	}
 	if known == nil || known.gone || known.server.Draining != s.Draining || !known.server.SameLife(s) {
 		t.log.Info().Str("server", s.ID).Str("service", s.Service).Str("address", s.Address).
 			Bool("draining", s.Draining).Int64("born", s.Born).Int64("sequence", s.Sequence).Msg("server entry")
--- a/internal/peers/roster.go
+++ b/internal/peers/roster.go
@@ -24,6 +24,10 @@
 	announcePause   = 250 * time.Millisecond // after a call that failed
 )
 
+// detailAtLoad is up to how many entries that are read together are logged one by
+// one: some seconds of what the log lines may take.
+const detailAtLoad = 100
+
 // Member is a router as it announced itself.
 type Member struct {
 	Node    string `msgpack:"-"` // the key
@@ -99,6 +103,7 @@
 	r.fleet.Known = true
 	r.mu.Unlock()
 	r.Apply(entries)
+	r.log.Info().Int("routers", len(entries)).Msg("routers read")
 }
 
 // Apply implements watch.Sink.
@@ -121,7 +126,9 @@
 			continue
 		}
 		r.members[e.Key] = m
-		r.log.Info().Str("router", m.Node).Str("address", m.Address).Bool("full", m.Full).Msg("router announced itself")
+		if len(entries) <= detailAtLoad {
+			r.log.Info().Str("router", m.Node).Str("address", m.Address).Bool("full", m.Full).Msg("router announced itself")
+		}
 	}
 }
 
--- a/internal/prepaid/fake_test.go
+++ b/internal/prepaid/fake_test.go
@@ -31,12 +31,12 @@
 	return l.faults != nil && l.faults.Float64() < share
 }
 
-func (l *fakeLog) Newest(context.Context, logservice.Stream) ([]logservice.KeyedEntry, ident.Offset, error) {
+func (l *fakeLog) NewestPage(context.Context, logservice.Stream, string) (logservice.NewestPage, error) {
 	l.work()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down || l.roll(0.1) {
-		return nil, 0, logservice.Unavailable(errLost)
+		return logservice.NewestPage{}, logservice.Unavailable(errLost)
 	}
 	newest := map[string]logservice.KeyedEntry{}
 	for _, e := range l.entries {
@@ -46,7 +46,7 @@
 	for _, e := range newest {
 		list = append(list, e)
 	}
-	return list, ident.Offset(len(l.entries)), nil
+	return logservice.NewestPage{Entries: list, End: ident.Offset(len(l.entries))}, nil
 }
 
 func (l *fakeLog) ReadKeyed(_ context.Context, _ logservice.Stream, from ident.Offset, _ time.Duration) ([]logservice.KeyedEntry, ident.Offset, error) {
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -19,7 +19,7 @@
 
 // Log is what the ledger needs of the platform's log.
 type Log interface {
-	Newest(ctx context.Context, stream logservice.Stream) ([]logservice.KeyedEntry, ident.Offset, error)
+	logservice.Pager
 	ReadKeyed(ctx context.Context, stream logservice.Stream, from ident.Offset, wait time.Duration) ([]logservice.KeyedEntry, ident.Offset, error)
 	AppendAt(ctx context.Context, stream logservice.Stream, at ident.Offset, entries ...logservice.KeyedEntry) error
 }
@@ -88,11 +88,12 @@
 
 	mu      sync.Mutex // guards entries and read; only the caller of Apply changes them
 	entries map[string]entry
-	read    time.Time    // when the entries were the newest
-	end     ident.Offset // up to which the entries are known; only Apply's caller uses it
-	loaded  bool         // the same
-	writes  uint64       // the same
-	shared  bool         // the same; others had written when the stream was last read
+	read    time.Time          // when the entries were the newest
+	end     ident.Offset       // up to which the entries are known; only Apply's caller uses it
+	loaded  bool               // the same
+	newest  *logservice.Newest // the same; what was read of a load that is not complete
+	writes  uint64             // the same
+	shared  bool               // the same; others had written when the stream was last read
 
 	away atomic.Pointer[time.Time] // since when appends are not answered; nil if they are
 }
@@ -116,12 +117,16 @@
 func (l *Ledger) Load(ctx context.Context) error {
 	call, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	newest, end, err := l.log.Newest(call, l.stream)
-	if err != nil {
+	if l.newest == nil {
+		l.newest = &logservice.Newest{}
+	}
+	if err := l.newest.Read(call, l.log, l.stream); err != nil {
 		return err
 	}
-	entries := make(map[string]entry, len(newest))
-	for _, raw := range newest {
+	newest := l.newest
+	l.newest = nil
+	entries := make(map[string]entry, len(newest.Entries))
+	for _, raw := range newest.Entries {
 		e, err := decode(raw)
 		if err != nil {
 			return err // an unknown sum must not be taken for zero
@@ -131,7 +136,7 @@
 	l.mu.Lock()
 	l.entries, l.read = entries, time.Now()
 	l.mu.Unlock()
-	l.end, l.loaded = end, true
+	l.end, l.loaded = newest.End, true
 	return nil
 }
 
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -19,7 +19,7 @@
 // Log is what a watcher needs of the platform's log. A call on which nothing
 // comes for a while fails by itself.
 type Log interface {
-	Newest(ctx context.Context, stream logservice.Stream) ([]logservice.KeyedEntry, ident.Offset, error)
+	logservice.Pager
 	ReadKeyed(ctx context.Context, stream logservice.Stream, from ident.Offset, wait time.Duration) ([]logservice.KeyedEntry, ident.Offset, error)
 }
 
@@ -63,8 +63,9 @@
 	logger zerolog.Logger
 	events *counter.Set
 
-	next   ident.Offset // only Run uses it
-	loaded bool         // only Run uses it; Reset was called
+	next   ident.Offset       // only Run uses it
+	loaded bool               // only Run uses it; Reset was called
+	newest *logservice.Newest // only Run uses it; what was read of a load that is not complete
 
 	mu      sync.Mutex // guards all below
 	contact time.Time  // when the newest answered call began
@@ -209,12 +210,16 @@
 }
 
 func (w *Watcher) load(ctx context.Context) error {
-	entries, next, err := w.log.Newest(ctx, w.stream)
-	if err != nil {
+	if w.newest == nil {
+		w.newest = &logservice.Newest{}
+	}
+	if err := w.newest.Read(ctx, w.log, w.stream); err != nil {
 		return err
 	}
-	w.next, w.loaded = next, true
-	w.sink.Reset(entries)
+	newest := w.newest
+	w.newest = nil
+	w.next, w.loaded = newest.End, true
+	w.sink.Reset(newest.Entries)
 	return nil
 }
 
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -19,14 +22,17 @@
 
 // fakeLog holds one stream; calls can hang, fail or find the stream trimmed.
 type fakeLog struct {
-	mu      sync.Mutex
-	entries []logservice.KeyedEntry
-	first   ident.Offset
-	silent  bool // calls are never answered
-	down    bool // calls fail at once
-	delay   time.Duration
-	reads   int
-	added   chan struct{}
+	mu        sync.Mutex
+	entries   []logservice.KeyedEntry
+	first     ident.Offset
+	silent    bool // calls are never answered
+	down      bool // calls fail at once
+	delay     time.Duration
+	failEvery int // of the calls, one in so many fails; zero: none
+	reads     int
+	pages     int // of the newest entries, that were answered
+	pageSize  int // zero: all in one
+	added     chan struct{}
 }
 
 func newFakeLog() *fakeLog { return &fakeLog{added: make(chan struct{})} }
@@ -53,6 +59,7 @@
 	l.mu.Lock()
 	silent, down, delay := l.silent, l.down, l.delay
 	l.reads++
+	down = down || (l.failEvery > 0 && l.reads%l.failEvery == 0)
 	l.mu.Unlock()
 	if silent {
 		delay, down = wait+quiet, true
@@ -68,23 +75,29 @@
 	return nil
 }
 
-func (l *fakeLog) Newest(ctx context.Context, _ logservice.Stream) ([]logservice.KeyedEntry, ident.Offset, error) {
+func (l *fakeLog) NewestPage(ctx context.Context, _ logservice.Stream, after string) (logservice.NewestPage, error) {
 	if err := l.answer(ctx, 0); err != nil {
-		return nil, 0, err
+		return logservice.NewestPage{}, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.pages++
 	newest := map[string]logservice.KeyedEntry{}
 	for _, e := range l.entries {
 		newest[e.Key] = e
 	}
-	var list []logservice.KeyedEntry
-	for _, e := range newest {
-		if e.Value != nil {
-			list = append(list, e)
+	page := logservice.NewestPage{End: ident.Offset(len(l.entries))}
+	for _, key := range slices.Sorted(maps.Keys(newest)) {
+		if e := newest[key]; e.Value == nil || key <= after {
+			continue
 		}
+		if l.pageSize > 0 && len(page.Entries) == l.pageSize {
+			page.More = true
+			break
+		}
+		page.Entries = append(page.Entries, newest[key])
 	}
-	return list, ident.Offset(len(l.entries)), nil
+	return page, nil
 }
 
 func (l *fakeLog) ReadKeyed(ctx context.Context, _ logservice.Stream, from ident.Offset, wait time.Duration) ([]logservice.KeyedEntry, ident.Offset, error) {
@@ -175,6 +188,28 @@
 	})
 }
 
+// TestLoadGoesOnWhereItFailed reads ten pages from a log of which each third call
+// fails, as one does that many routers read at once.
+func TestLoadGoesOnWhereItFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, s := newFakeLog(), &state{}
+		for i := range 50 {
+			log.add(fmt.Sprintf("k%02d", i), "1")
+		}
+		log.pageSize, log.failEvery = 5, 3
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go New(log, "stream", s, pace, zerolog.Nop()).Run(ctx)
+		time.Sleep(5 * time.Second)
+		log.set(func() { log.failEvery = 0 })
+		require.Equal(t, "1", s.get("k49"))
+		require.Equal(t, 10, log.pages, "no page is read twice")
+		log.add("k07", "2")
+		time.Sleep(2 * time.Second)
+		require.Equal(t, "2", s.get("k07"), "changes come after it")
+	})
+}
+
 // inForce is the bound that deployments set for a change to be in force.
 const inForce = 2 * time.Second
 
