Homes that died are not waited for, and others do not keep what homes hold

Cause: 300 routers, 180 killed at once: 503 for tokens that were in the ledger. A router that is no home of the account asked the four homes first, and each that is dead takes 120 ms to give up; the 350 ms of a request were over before a draw was made. 235 other requests got 402 for tokens kept for small requests by routers that see the ledger, but not what the homes hold of the account. Change: the homes are asked for 100 ms, then the router draws itself. Only a home keeps tokens for small requests, also when it lends; the others refuse for that reason only after the homes were asked. Test: half of 24 routers and all homes are killed, the log is well: every survivor gets tokens within the wait; 503 at the first one before. Conclusion: kept for what callers get when many routers die at once.

--- a/internal/prepaid/hand.go
+++ b/internal/prepaid/hand.go
@@ -43,6 +43,7 @@
 	vainAt    time.Time     // when a call to all routers brought nothing
 	vainFor   int64         // what was lacking then
 	homes     []string      // routers that draw for the account
+	home      bool          // this router is one of them
 	homesOf   uint64        // version of the fleet that they were chosen from
 }
 
@@ -50,12 +51,14 @@
 	return &hand{account: account, changed: make(chan struct{})}
 }
 
-// take sets tokens aside if there are enough.
+// take sets tokens aside if there are enough. What the homes lend to another
+// router is not kept there: what that sees of the ledger leaves out what the homes
+// hold.
 func (h *hand) take(tokens int64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.bound = max(h.bound, float64(tokens))
-	if h.free < tokens || keeps(h.left+h.free, h.prepaid, tokens, h.mean) {
+	if h.free < tokens || (h.home && keeps(h.left+h.free, h.prepaid, tokens, h.mean)) {
 		return false
 	}
 	h.free -= tokens
--- a/internal/prepaid/hands.go
+++ b/internal/prepaid/hands.go
@@ -34,6 +34,9 @@
 	// other routers: longer than an append and its repetition take on a healthy
 	// log.
 	askOthersAfter = 100 * time.Millisecond
+	// askHomesFor is how long a router that is not a home waits for the homes: a
+	// call takes some milliseconds.
+	askHomesFor = 100 * time.Millisecond
 	// proofAge is how long a verdict of the ledger stands without another look.
 	proofAge = 250 * time.Millisecond
 	// keptAge is how old the view of the ledger may be by which tokens are kept
@@ -142,10 +145,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, waitForDraw)
 	defer cancel()
-	asked, begun := false, time.Now()
-	if _, home := g.homes(h); !home && !h.kept(tokens) {
-		g.borrow(ctx, h, tokens, false)
+	if _, home := g.homes(h); !home {
+		g.borrowNear(ctx, h, tokens)
 	}
+	asked, begun := false, time.Now()
 	for !h.take(tokens) {
 		away := g.ledger.Away()
 		switch {
@@ -175,6 +178,14 @@
 	return &Hold{hand: h, tokens: tokens}, Granted
 }
 
+// borrowNear asks the homes of an account. Homes that died lately do not answer;
+// there must be time left for a draw then.
+func (g *Hands) borrowNear(ctx context.Context, h *hand, tokens int64) {
+	ctx, cancel := context.WithTimeout(ctx, askHomesFor)
+	defer cancel()
+	g.borrow(ctx, h, tokens, false)
+}
+
 // look makes the view of an account fresh. It reports whether it is.
 func (g *Hands) look(ctx context.Context, h *hand) bool {
 	if h.age(time.Now()) <= keptAge {
--- a/internal/prepaid/hands_test.go
+++ b/internal/prepaid/hands_test.go
@@ -24,10 +24,11 @@
 	version int64
 	routers []*Hands
 	stops   []context.CancelFunc
-	lose    int  // replies to loans that are lost
-	more    int  // accounts beside "maps"
-	calls   int  // from router to router
-	apart   bool // routers cannot call each other
+	lose    int          // replies to loans that are lost
+	more    int          // accounts beside "maps"
+	calls   int          // from router to router
+	apart   bool         // routers cannot call each other
+	dead    map[int]bool // routers that do not answer calls
 }
 
 // neighbours are the other routers of one router.
@@ -44,7 +45,7 @@
 	return f
 }
 
-func (n neighbours) Borrow(_ context.Context, args BorrowArgs, first []string, all bool, take func(BorrowReply) int64) (complete bool) {
+func (n neighbours) Borrow(ctx context.Context, args BorrowArgs, first []string, all bool, take func(BorrowReply) int64) (complete bool) {
 	if n.fleet.apart {
 		return false
 	}
@@ -61,6 +62,13 @@
 		if i == n.self || other == nil || args.Want <= 0 {
 			continue
 		}
+		if n.fleet.dead[i] {
+			complete = false
+			if !wait(ctx, 120*time.Millisecond, nil) { // as calls time out
+				return complete
+			}
+			continue
+		}
 		n.fleet.calls++
 		reply := other.Lend(args)
 		if n.fleet.lose > 0 {
@@ -229,6 +237,41 @@
 	})
 }
 
+// TestDeadHomesAreNotWaitedFor kills half of 24 routers; the others learn of it by
+// calls that get no answer. The log is well.
+func TestDeadHomesAreNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(10_000_000)
+		f.log.setTakes(4 * time.Millisecond)
+		f.start(t, 24)
+		time.Sleep(5 * time.Second)
+		f.dead = map[int]bool{}
+		for i := range 12 {
+			f.stops[i]()
+			f.dead[i] = true
+		}
+		homes := homesOf("maps", neighbours{f, 0}.Fleet().Routers)
+		for i := range f.routers {
+			if slices.Contains(homes, fmt.Sprint(i)) {
+				f.stops[i]()
+				f.dead[i] = true
+			}
+		}
+		for i, router := range f.routers {
+			if f.dead[i] {
+				continue
+			}
+			begun := time.Now()
+			hold, outcome := router.Acquire(t.Context(), "maps", 8000)
+			require.Equal(t, Granted, outcome, "router %d", i)
+			require.Less(t, time.Since(begun), waitForDraw)
+			hold.Settle(8000)
+		}
+		f.kill()
+		time.Sleep(time.Second) // the calls in progress end
+	})
+}
+
 // TestTokensAreKeptOnlyIfTheViewIsFresh: a router saw an account nearly spent;
 // meanwhile another one has given back.
 func TestTokensAreKeptOnlyIfTheViewIsFresh(t *testing.T) {
--- a/internal/prepaid/home.go
+++ b/internal/prepaid/home.go
@@ -34,8 +34,9 @@
 	defer h.mu.Unlock()
 	if h.homes == nil || h.homesOf != fleet.Version {
 		h.homes, h.homesOf = homesOf(h.account, fleet.Routers), fleet.Version
+		h.home = slices.Contains(h.homes, fleet.Self)
 	}
-	return h.homes, slices.Contains(h.homes, fleet.Self)
+	return h.homes, h.home
 }
 
 // fleet returns the routers; this one alone if there are no others to call.
--- a/internal/prepaid/lend.go
+++ b/internal/prepaid/lend.go
@@ -81,7 +81,8 @@
 }
 
 // Lend takes tokens out of hand for another router. While the log is away, it
-// keeps as much as makes both last equally long.
+// keeps as much as makes both last equally long; otherwise a home keeps the last
+// tokens for small requests, here as for its own callers.
 func (g *Hands) Lend(args BorrowArgs) BorrowReply {
 	h := g.hand(args.Account)
 	h.mu.Lock()
@@ -95,6 +96,8 @@
 			keep = h.own.rate / (h.own.rate + other)
 		}
 		give = float64(h.free) - keep*float64(h.free+args.Free)
+	} else if h.home && h.mean > 0 && keeps(h.left+h.free, h.prepaid, args.Want, h.mean) {
+		give = 0
 	}
 	given := max(min(int64(give), args.Want), 0)
 	h.free -= given
