Each log line of the router is on the operators' page

Cause: 16 of 51 messages were not in the page's table, or only with an ellipsis, so that a search for a line found nothing. Test: the messages in the sources against the page; it failed before. No change of the program.

--- /dev/null
+++ b/cmd/camphor-entry/messages_test.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// packages of the router that write log lines, from the root of the repository.
+var packages = []string{
+	"cmd/camphor-entry", "internal/entry", "internal/membership", "internal/peers", "internal/prepaid", "internal/watch",
+	"internal/filter/forward", "internal/filter/recovery", "internal/filter/route", "internal/filter/spend", "platform",
+}
+
+// TestEachLogLineIsOnTheOperatorsPage compares the messages in the sources with
+// the tables of the page.
+func TestEachLogLineIsOnTheOperatorsPage(t *testing.T) {
+	root := filepath.Join("..", "..")
+	page, err := os.ReadFile(filepath.Join(root, "docs", "OPERATIONS.md"))
+	require.NoError(t, err)
+	found := 0
+	for _, dir := range packages {
+		names, err := filepath.Glob(filepath.Join(root, dir, "*.go"))
+		require.NoError(t, err)
+		for _, name := range names {
+			if strings.HasSuffix(name, "_test.go") {
+				continue
+			}
+			parsed, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
+			require.NoError(t, err)
+			ast.Inspect(parsed, func(n ast.Node) bool {
+				if message := messageOf(n); message != "" {
+					found++
+					require.Contains(t, string(page), "`"+message, name)
+				}
+				return true
+			})
+		}
+	}
+	require.Greater(t, found, 40, "the messages were found")
+}
+
+// messageOf returns the message of a call that writes a log line.
+func messageOf(n ast.Node) string {
+	call, ok := n.(*ast.CallExpr)
+	if !ok || len(call.Args) == 0 {
+		return ""
+	}
+	name, ok := call.Fun.(*ast.SelectorExpr)
+	if !ok || (name.Sel.Name != "Msg" && name.Sel.Name != "Note") {
+		return ""
+	}
+	argument := call.Args[0]
+	if sum, ok := argument.(*ast.BinaryExpr); ok {
+		argument = sum.X // the rest varies
+	}
+	literal, ok := argument.(*ast.BasicLit)
+	if !ok {
+		return ""
+	}
+	message, err := strconv.Unquote(literal.Value)
+	if err != nil {
+		return ""
+	}
+	return message
+}
