The ledger takes no old pages for fresh ones; the baseline of servers' health by name

Appends were safe, as they name the end. Change: the ledger loads from the first page; servers, settings and routers still go on where a load failed, since they follow the stream from that page's end. In affinity, what requests of a service see at all its servers is called baseline.

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -44,7 +44,7 @@
 
 	mu       sync.Mutex // guards all below and what it points to
 	nodes    map[string]*node
-	services map[string]*usual
+	services map[string]*baseline
 }
 
 // node is what a router knows of one server from its own requests.
@@ -60,7 +60,7 @@
 
 // New returns a placer of a router in a data centre.
 func New(dataCentre string) *Placer {
-	return &Placer{dataCentre: dataCentre, nodes: map[string]*node{}, services: map[string]*usual{}}
+	return &Placer{dataCentre: dataCentre, nodes: map[string]*node{}, services: map[string]*baseline{}}
 }
 
 // Placed is a request at a server. Done is called once.
@@ -71,11 +71,11 @@
 	InFlight int
 	Mean     float64
 	Burden   float64 // how much fuller the server counts for being slow or failing
-	Suspect  bool    // it has failed lately, and so have all others
+	Suspect  bool    // it has failed lately or was replaced, and so have all others
 
-	placer *Placer
-	node   *node
-	usual  *usual
+	placer   *Placer
+	node     *node
+	baseline *baseline
 }
 
 // Pick chooses one of the servers and counts the request there. It returns
@@ -89,8 +89,8 @@
 		return nil, false
 	}
 	mean := float64(total) / float64(len(candidates))
-	usual := p.usual(servers[0].Service)
-	usual.burdens(candidates, now)
+	baseline := p.baseline(servers[0].Service)
+	baseline.burdens(candidates, now)
 	var best candidate
 	if q.Key == "" {
 		best = p.leastLoaded(candidates)
@@ -99,7 +99,7 @@
 	}
 	placed := &Placed{
 		Server: *best.server, InFlight: best.node.inFlight, Mean: mean, Burden: best.burden, Suspect: best.node.avoided(now),
-		placer: p, node: best.node, usual: usual,
+		placer: p, node: best.node, baseline: baseline,
 	}
 	best.node.inFlight++
 	return placed, true
@@ -166,14 +166,14 @@
 	return n
 }
 
-// usual returns what is known of all servers of a service. The lock is held.
-func (p *Placer) usual(service string) *usual {
-	u := p.services[service]
-	if u == nil {
-		u = newUsual()
-		p.services[service] = u
+// baseline returns what is known of all servers of a service. The lock is held.
+func (p *Placer) baseline(service string) *baseline {
+	b := p.services[service]
+	if b == nil {
+		b = newBaseline()
+		p.services[service] = b
 	}
-	return u
+	return b
 }
 
 // avoided reports whether a server gets work only if there is no other.
@@ -233,7 +233,7 @@
 func (p *Placed) Began(route string, delay time.Duration) {
 	p.placer.mu.Lock()
 	defer p.placer.mu.Unlock()
-	p.usual.answered(&p.node.health, route, delay, time.Now())
+	p.baseline.answered(&p.node.health, route, delay, time.Now())
 }
 
 // Answered notes that the server answered, and whether with a failure.
@@ -242,14 +242,14 @@
 	defer p.placer.mu.Unlock()
 	p.node.failures = 0
 	p.node.suspect = time.Time{}
-	p.usual.ended(&p.node.health, failed, time.Now())
+	p.baseline.ended(&p.node.health, failed, time.Now())
 }
 
 // Refused notes that the server did not run the request.
 func (p *Placed) Refused() {
 	p.placer.mu.Lock()
 	defer p.placer.mu.Unlock()
-	p.usual.ended(&p.node.health, true, time.Now())
+	p.baseline.ended(&p.node.health, true, time.Now())
 }
 
 // Replaced notes that another server has the address. The entry of the server is
@@ -281,7 +281,7 @@
 			delete(p.nodes, id)
 		}
 	}
-	for _, u := range p.services {
-		u.forget(now)
+	for _, b := range p.services {
+		b.forget(now)
 	}
 }
--- a/internal/affinity/health.go
+++ b/internal/affinity/health.go
@@ -71,22 +71,22 @@
 	failures tally // 1 for a failed request, 0 for a good one
 }
 
-// usual is what requests of a service see at all its servers.
-type usual struct {
+// baseline is what requests of a service see at all its servers.
+type baseline struct {
 	delays   map[string]*tally // time to the first answer by route, in seconds
 	failures tally
 }
 
-func newUsual() *usual {
-	return &usual{delays: map[string]*tally{}}
+func newBaseline() *baseline {
+	return &baseline{delays: map[string]*tally{}}
 }
 
 // answered takes the time to the first answer of a request into account.
-func (u *usual) answered(h *health, route string, delay time.Duration, now time.Time) {
-	t := u.delays[route]
+func (b *baseline) answered(h *health, route string, delay time.Duration, now time.Time) {
+	t := b.delays[route]
 	if t == nil {
 		t = &tally{}
-		u.delays[route] = t
+		b.delays[route] = t
 	}
 	t.add(now, delay.Seconds())
 	if mean := t.sum / t.weight; mean > 0 {
@@ -95,32 +95,32 @@
 }
 
 // forget drops the routes that had no requests for long.
-func (u *usual) forget(now time.Time) {
-	for route, t := range u.delays {
+func (b *baseline) forget(now time.Time) {
+	for route, t := range b.delays {
 		if t.age(now); t.weight < leastWeight {
-			delete(u.delays, route)
+			delete(b.delays, route)
 		}
 	}
 }
 
 // ended takes the end of a request into account.
-func (u *usual) ended(h *health, failed bool, now time.Time) {
+func (b *baseline) ended(h *health, failed bool, now time.Time) {
 	value := 0.0
 	if failed {
 		value = 1
 	}
-	u.failures.add(now, value)
+	b.failures.add(now, value)
 	h.failures.add(now, value)
 }
 
 // burden returns how much fuller a server counts than it is, 1 for a healthy
 // one. The pace is that of the healthy servers of the service.
-func (u *usual) burden(h *health, pace float64, now time.Time) float64 {
+func (b *baseline) burden(h *health, pace float64, now time.Time) float64 {
 	burden := 1.0
 	if slow := h.pace.mean(now, 1) / pace; slow > slowFrom {
 		burden = slow * slow // so that one just beyond the limit is passed by when idle
 	}
-	share := u.failures.mean(now, 0)
+	share := b.failures.mean(now, 0)
 	if beyond := h.failures.mean(now, share) - share; beyond > failsFrom {
 		burden += failureCost * beyond
 	}
@@ -128,10 +128,10 @@
 }
 
 // burdens sets the burden of all candidates.
-func (u *usual) burdens(candidates []candidate, now time.Time) {
+func (b *baseline) burdens(candidates []candidate, now time.Time) {
 	pace := healthyPace(candidates, now)
 	for i := range candidates {
-		candidates[i].burden = u.burden(&candidates[i].node.health, pace, now)
+		candidates[i].burden = b.burden(&candidates[i].node.health, pace, now)
 	}
 }
 
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -88,12 +88,11 @@
 
 	mu      sync.Mutex // guards entries and read; only the caller of Apply changes them
 	entries map[string]entry
-	read    time.Time          // when the entries were the newest
-	end     ident.Offset       // up to which the entries are known; only Apply's caller uses it
-	loaded  bool               // the same
-	newest  *logservice.Newest // the same; what was read of a load that is not complete
-	writes  uint64             // the same
-	shared  bool               // the same; others had written when the stream was last read
+	read    time.Time    // when the entries were the newest
+	end     ident.Offset // up to which the entries are known; only Apply's caller uses it
+	loaded  bool         // the same
+	writes  uint64       // the same
+	shared  bool         // the same; others had written when the stream was last read
 
 	away atomic.Pointer[time.Time] // since when appends are not answered; nil if they are
 }
@@ -117,14 +116,11 @@
 func (l *Ledger) Load(ctx context.Context) error {
 	call, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	if l.newest == nil {
-		l.newest = &logservice.Newest{}
-	}
-	if err := l.newest.Read(call, l.log, l.stream); err != nil {
+	// A load that failed is not gone on with: what is read counts as fresh.
+	var newest logservice.Newest
+	if err := newest.Read(call, l.log, l.stream); err != nil {
 		return err
 	}
-	newest := l.newest
-	l.newest = nil
 	entries := make(map[string]entry, len(newest.Entries))
 	for _, raw := range newest.Entries {
 		e, err := decode(raw)
