A test for loads of the ledger that failed half-way

Cause: the mended fault (old pages taken for fresh ones) had no test. Change: a load fails at its second page, the first page's account changes, and the next load must see it.

--- a/internal/prepaid/ledger_test.go
+++ b/internal/prepaid/ledger_test.go
@@ -165,3 +165,36 @@
 	defer cancel()
 	return l.ledger.Apply(ctx, []Change{c})
 }
+
+// paged gives one entry a page, and fails the second page once.
+type paged struct {
+	*fakeLog
+	drawn  int64 // of account a
+	failed bool
+}
+
+func (l *paged) NewestPage(_ context.Context, _ logservice.Stream, after string) (logservice.NewestPage, error) {
+	e := entry{Paid: 100, Drawn: l.drawn, Version: 1}
+	if after != "" {
+		if !l.failed {
+			l.failed = true
+			return logservice.NewestPage{}, logservice.Unavailable(errLost)
+		}
+		raw, err := entry{Paid: 100}.encode()
+		return logservice.NewestPage{Entries: []logservice.KeyedEntry{{Key: "b", Value: raw}}}, err
+	}
+	raw, err := e.encode()
+	return logservice.NewestPage{Entries: []logservice.KeyedEntry{{Key: "a", Value: raw}}, More: true}, err
+}
+
+// TestLoadTakesNoOldPageForFresh fails a load, changes what its first page said,
+// and loads again.
+func TestLoadTakesNoOldPageForFresh(t *testing.T) {
+	log := &paged{fakeLog: &fakeLog{}, drawn: 10}
+	l := newTestLedger(log, "r/1")
+	require.Error(t, l.Load(t.Context()))
+	log.drawn = 90
+	require.NoError(t, l.Load(t.Context()))
+	drawn, _ := l.Drawn("a")
+	require.EqualValues(t, 90, drawn)
+}
