--- a/cmd/camphor-entry/main.go
+++ b/cmd/camphor-entry/main.go
@@ -137,9 +137,12 @@
 			MinRetries: int64(local.Params.MinRetries),
 			Window:     local.Params.RetryWindow,
 		},
+		LogWritesPerSecond: local.LogWritesPerSecond,
+
 		StreamSettings: platform.StreamOperator,
 		StreamServers:  platform.StreamServers,
 		StreamBudgets:  platform.StreamBudgets,
+		StreamLayout:   platform.StreamLayout,
 		StreamRouters:  platform.StreamRouters,
 		Decoder: entry.Decoder{
 			Settings:    platform.DecodeSettings,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -100,10 +100,12 @@
 	LinkBytesPerSecond float64       // capacity of the VM's link in each direction; zero if unknown
 	GracePeriod        time.Duration // from the stop signal until the process is killed
 	RetryLimits        retry.Limits  // of the whole fleet, for each service
+	LogWritesPerSecond float64       // appends that all routers together may make; zero if unknown
 
 	StreamSettings logservice.Stream
 	StreamServers  logservice.Stream
 	StreamBudgets  logservice.Stream
+	StreamLayout   logservice.Stream // number of shards of the ledger
 	StreamRouters  logservice.Stream
 	Decoder        Decoder
 }
@@ -164,8 +166,8 @@
 	r.peerSet = peers.NewPeerSet(peers.Member{Node: o.Node, Address: o.PeerAddress, Incarnation: incarnation}, o.StreamRouters, logger)
 	r.pressure = pressure.New(o.LinkBytesPerSecond, r.peerSet.MayReportFull, logger)
 	r.peerWatcher = watch.New(log, o.StreamRouters, r.peerSet, routersTiming, logger)
-	ledger := prepaid.NewLedger(log, o.StreamBudgets, incarnation, logger)
-	r.balances = prepaid.NewLocalBalances(ledger, r.settings.Current, peers.NewClient(r.peerSet, o.FleetKey), logger)
+	streams := prepaid.Streams{Budgets: o.StreamBudgets, Layout: o.StreamLayout, Shards: ledgerShards(o.LogWritesPerSecond)}
+	r.balances = prepaid.NewLocalBalances(log, streams, incarnation, r.settings.Current, peers.NewClient(r.peerSet, o.FleetKey), logger)
 	r.chain = filter.Chain(
 		recovery.New(r.log),
 		route.New(&syncedSettings{r.settings}),
@@ -183,6 +185,15 @@
 	return r
 }
 
+// writesPerShard is how many appends per second of the log's allowance make up one
+// shard of the ledger, about as many as one stream can take.
+const writesPerShard = 250
+
+// ledgerShards returns the number of shards of a new ledger.
+func ledgerShards(writesPerSecond float64) int {
+	return max(int(writesPerSecond/writesPerShard), 1)
+}
+
 // routerRetryLimits returns this router's part of the fleet's retry limits.
 // Each router counts only the requests that it received, so the ratio needs no
 // splitting.
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	netrpc "net/rpc"
 	"slices"
 	"sync"
 	"time"
@@ -51,61 +52,86 @@
 func (c *Client) Fleet() prepaid.Fleet { return c.peerSet.Fleet() }
 
 // Borrow implements prepaid.Peers.
-func (c *Client) Borrow(ctx context.Context, args prepaid.BorrowArgs, preferred []string, includeOthers bool, receive func(prepaid.BorrowReply) int64) (complete bool) {
-	peers := c.reachable()
-	complete = len(peers) == len(c.peerSet.Others())
-	for _, peer := range borrowOrder(peers, preferred, includeOthers) {
+func (c *Client) Borrow(ctx context.Context, args prepaid.BorrowArgs, first []string, others bool, receive func(prepaid.BorrowReply) int64) (complete bool) {
+	complete = true
+	for _, peer := range c.callOrder(first, others) {
 		if args.Want <= 0 || ctx.Err() != nil {
 			return false
 		}
 		var reply prepaid.BorrowReply
-		if c.call(ctx, peer, "Lend", &args, &reply) != nil {
+		if peer == nil || c.call(ctx, peer, "Lend", &args, &reply) != nil {
 			complete = false
 			continue
 		}
 		args.Free += args.Want
-		args.Want = receive(reply)
-		args.Free -= args.Want
+		more := receive(reply)
+		args.Need -= args.Want - more
+		args.Want = more
+		args.Free -= more
 	}
 	return complete
 }
 
-// borrowOrder returns the preferred peers in their order, followed by the other
-// peers if includeOthers is set.
-func borrowOrder(peers []*peerConn, preferred []string, includeOthers bool) []*peerConn {
-	var named, rest []*peerConn
-	for _, name := range preferred {
-		for _, peer := range peers {
-			if peer.member.Node == name {
-				named = append(named, peer)
-			}
+// maxOthers bounds how many routers that were not named are asked in turn. Each
+// holds little, and a request can't wait for hundreds of calls.
+const maxOthers = 16
+
+// callOrder returns the named peers in their order, followed by up to maxOthers of
+// the others if those are included. A peer that is avoided is nil.
+func (c *Client) callOrder(first []string, others bool) []*peerConn {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.updateConns()
+	order := make([]*peerConn, 0, len(first)+maxOthers)
+	for _, name := range first {
+		if peer := c.conns[name]; peer != nil {
+			order = append(order, peer.unlessAvoided(now))
 		}
 	}
-	if !includeOthers {
-		return named
+	if !others {
+		return order
 	}
-	for _, peer := range peers {
-		if !slices.Contains(preferred, peer.member.Node) {
+	var rest []*peerConn
+	for name, peer := range c.conns {
+		if !slices.Contains(first, name) {
 			rest = append(rest, peer)
 		}
 	}
-	return append(named, rest...)
+	// Those that never failed, or not for the longest time, come first. The order
+	// among equals is random.
+	slices.SortStableFunc(rest, func(a, b *peerConn) int { return a.avoidUntil.Compare(b.avoidUntil) })
+	for _, peer := range rest[:min(len(rest), maxOthers)] {
+		order = append(order, peer.unlessAvoided(now))
+	}
+	return order
+}
+
+// unlessAvoided returns nil for a peer that is avoided. The caller holds the
+// client's lock.
+func (p *peerConn) unlessAvoided(now time.Time) *peerConn {
+	if now.Before(p.avoidUntil) {
+		return nil
+	}
+	return p
 }
 
 // Transfer implements prepaid.Peers. It repeats the call to one peer until that
 // answers or ctx ends. The totals are the same in each attempt, so the peer
 // counts them once even if it receives them twice; another peer would count
 // them again, so none is tried.
-func (c *Client) Transfer(ctx context.Context, args prepaid.TransferArgs) error {
-	peers := c.reachable()
-	if len(peers) == 0 {
-		return errors.New("no other router is reachable")
+func (c *Client) Transfer(ctx context.Context, first []string, others bool, args func(receiver string) prepaid.TransferArgs) (sent bool, err error) {
+	order := slices.DeleteFunc(c.callOrder(first, others), func(peer *peerConn) bool { return peer == nil })
+	if len(order) == 0 {
+		return false, nil
 	}
+	totals := args(order[0].member.Incarnation)
 	for {
 		var reply struct{}
-		err := c.call(ctx, peers[0], "Receive", &args, &reply)
-		if err == nil || ctx.Err() != nil {
-			return err
+		err := c.call(ctx, order[0], "Receive", &totals, &reply)
+		var refused netrpc.ServerError
+		if err == nil || ctx.Err() != nil || errors.As(err, &refused) {
+			return true, err
 		}
 	}
 }
@@ -126,23 +152,6 @@
 	return errors.Wrapf(err, "call router %s", peer.member.Node)
 }
 
-// reachable returns the peers that are not avoided, ordered by the end of their
-// last avoidance: those that never failed come first.
-func (c *Client) reachable() []*peerConn {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.updateConns()
-	var available []*peerConn
-	for _, peer := range c.conns {
-		if now.After(peer.avoidUntil) {
-			available = append(available, peer)
-		}
-	}
-	slices.SortFunc(available, func(a, b *peerConn) int { return a.avoidUntil.Compare(b.avoidUntil) })
-	return available
-}
-
 // updateConns brings the connections in line with the peer set. The caller
 // holds the lock.
 func (c *Client) updateConns() {
@@ -155,7 +164,7 @@
 			}
 			_ = conn.client.Close() // the previous incarnation has ended
 		}
-		c.conns[m.Node] = &peerConn{member: m, client: rpc.NewClient(rpc.Options{Address: m.Address, Service: Service, FleetKey: c.fleetKey})}
+		c.conns[m.Node] = &peerConn{member: m, client: rpc.NewClient(rpc.Options{Address: m.Address, FleetKey: c.fleetKey})}
 	}
 	for node, peer := range c.conns {
 		if !present[node] {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
@@ -35,9 +38,17 @@
 	return prepaid.BorrowReply{Lender: l.incarnation, Total: l.lent}
 }
 
-func (l *fakeLender) Receive(args prepaid.TransferArgs) { l.received = args.Totals }
+func (l *fakeLender) Receive(args prepaid.TransferArgs) error {
+	if args.Receiver != l.incarnation {
+		return errors.New("another incarnation")
+	}
+	l.received = args.Totals
+	return nil
+}
+
+func serveLender(t *testing.T, l *fakeLender) string { return serveLenderOf(t, l) }
 
-func serveLender(t *testing.T, l *fakeLender) string {
+func serveLenderOf(t *testing.T, l Lender) string {
 	control := rpc.NewServer("key")
 	require.NoError(t, control.Register(Service, NewMethods(l)))
 	mux := http.NewServeMux()
@@ -91,12 +102,62 @@
 
 func TestTransferSendsTotals(t *testing.T) {
 	l := &fakeLender{incarnation: "g"}
-	c := NewClient(peerSetOf(t, Member{Node: "a", Address: serveLender(t, l)}), "key")
-	require.NoError(t, c.Transfer(context.Background(), prepaid.TransferArgs{Giver: "me", Totals: map[string]int64{"maps": 5}}))
+	c := NewClient(peerSetOf(t, Member{Node: "a", Address: serveLender(t, l), Incarnation: "g"}), "key")
+	totals := func(receiver string) prepaid.TransferArgs {
+		return prepaid.TransferArgs{Giver: "me", Receiver: receiver, Totals: map[string]int64{"maps": 5}}
+	}
+	sent, err := c.Transfer(context.Background(), []string{"a"}, false, totals)
+	require.True(t, sent)
+	require.NoError(t, err)
 	require.Equal(t, map[string]int64{"maps": 5}, l.received)
-	require.Error(t, NewClient(peerSetOf(t), "key").Transfer(context.Background(), prepaid.TransferArgs{}))
+	sent, err = NewClient(peerSetOf(t), "key").Transfer(context.Background(), []string{"a"}, true, totals)
+	require.False(t, sent, "no router is known")
+	require.NoError(t, err)
+	sent, _ = c.Transfer(context.Background(), nil, false, totals)
+	require.False(t, sent, "no router was named")
+}
+
+// TestTransferToEndedIncarnationIsNotRepeated: the receiver has restarted since it
+// announced itself. It refuses tokens for the incarnation before, and the giver does
+// not repeat the call.
+func TestTransferToEndedIncarnationIsNotRepeated(t *testing.T) {
+	l := &fakeLender{incarnation: "new"}
+	c := NewClient(peerSetOf(t, Member{Node: "a", Address: serveLender(t, l), Incarnation: "old"}), "key")
+	begun := time.Now()
+	sent, err := c.Transfer(context.Background(), nil, true, func(receiver string) prepaid.TransferArgs {
+		return prepaid.TransferArgs{Giver: "me", Receiver: receiver, Totals: map[string]int64{"maps": 5}}
+	})
+	require.True(t, sent)
+	require.Error(t, err)
+	require.Less(t, time.Since(begun), 5*time.Second)
+	require.Nil(t, l.received)
+}
+
+// TestFewOthersAreAsked: a request can't wait for calls to hundreds of routers.
+func TestFewOthersAreAsked(t *testing.T) {
+	empty := &countingLender{}
+	address := serveLenderOf(t, empty)
+	members := []Member{{Node: "owner", Address: address}}
+	for i := range 100 {
+		members = append(members, Member{Node: fmt.Sprint(i), Address: address})
+	}
+	c := NewClient(peerSetOf(t, members...), "key")
+	complete := c.Borrow(context.Background(), prepaid.BorrowArgs{Account: "maps", Want: 10, Need: 10}, []string{"owner"}, true,
+		func(prepaid.BorrowReply) int64 { return 10 })
+	require.True(t, complete)
+	require.EqualValues(t, maxOthers+1, empty.calls.Load())
 }
 
+// countingLender lends nothing.
+type countingLender struct{ calls atomic.Int64 }
+
+func (l *countingLender) Lend(prepaid.BorrowArgs) prepaid.BorrowReply {
+	l.calls.Add(1)
+	return prepaid.BorrowReply{}
+}
+
+func (l *countingLender) Receive(prepaid.TransferArgs) error { return nil }
+
 // TestMayReportFullIsLimitedToAShareOfTheRouters: at most one router in four
 // may send its callers elsewhere, and only if there are other routers. An
 // announcement counts until FullExpiry.
--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -8,7 +8,7 @@
 // Lender sends tokens to other routers and receives tokens from them.
 type Lender interface {
 	Lend(args prepaid.BorrowArgs) prepaid.BorrowReply
-	Receive(args prepaid.TransferArgs)
+	Receive(args prepaid.TransferArgs) error
 }
 
 // Methods are the net/rpc methods that other routers call.
@@ -29,10 +29,10 @@
 	return nil
 }
 
-// Receive accepts the tokens of a router that is stopping.
+// Receive accepts tokens that another router does not need. It fails if they were
+// sent to another incarnation of this router.
 func (m *Methods) Receive(args *prepaid.TransferArgs, _ *struct{}) error {
-	m.lender.Receive(*args)
-	return nil
+	return m.lender.Receive(*args)
 }
 
 // Ping answers the heartbeat of a connection.
--- a/internal/prepaid/balance.go
+++ b/internal/prepaid/balance.go
@@ -34,17 +34,19 @@
 	ledgerReadAt    time.Time     // when ledgerFree was read
 	ledgerRead      chan struct{} // closed once the ledger was read after ledgerReadFrom; nil if nobody waits
 	ledgerReadFrom  time.Time
-	waitingTokens   int64         // sum of the bounds of waiting requests
-	waiters         int           // number of waiting requests
+	waitingTokens   int64         // sum of the bounds of waiting requests and of the missing tokens of loans
+	waiters         int           // number of waiting requests and loans
+	drawWaiters     int           // waiting requests for which a router that is no owner must draw
+	lastReserveAt   time.Time     // when a request last reserved tokens
+	scarce          bool          // the account is nearly used up, as an owner said
 	changed         chan struct{} // closed when tokens arrive or a shortage is recorded
 	shortageAt      time.Time     // when the ledger last had fewer tokens than asked for
 	shortageFree    int64         // tokens that were left in the ledger then
 	borrowDone      chan struct{} // closed when the calls to other routers end; nil if none is in progress
+	lastBorrow      borrowResult  // of the calls that ended last
 	emptyBorrowAt   time.Time     // when calls to all routers last yielded no tokens
 	emptyBorrowNeed int64         // tokens that were missing then
-	owners          []string      // owner routers, which draw for the account
 	isOwner         bool          // this router is an owner
-	ownersVersion   uint64        // fleet version from which owners were computed
 }
 
 func newLocalBalance(account string) *localBalance {
@@ -64,6 +66,7 @@
 	}
 	b.free -= tokens
 	b.reserved += tokens
+	b.lastReserveAt = time.Now()
 	return true
 }
 
@@ -190,8 +193,8 @@
 }
 
 // update advances the averages. It returns the state of the account and how many
-// tokens waiting requests lack.
-func (b *localBalance) update(now time.Time, ledgerFree, prepaid int64) (s accountState, need int64) {
+// tokens this router must draw for waiting requests.
+func (b *localBalance) update(now time.Time, ledgerFree, prepaid int64, isOwner bool) (s accountState, need int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.ledgerFree, b.prepaid = ledgerFree, prepaid
@@ -203,8 +206,14 @@
 		}
 		b.updatedAt = now
 	}
-	if b.waiters > 0 {
+	if b.waiters > 0 && (isOwner || b.drawWaiters > 0) {
 		need = max(b.waitingTokens-b.free, 0)
 	}
-	return accountState{localBalance: b.free, rate: b.ownUse.rate + b.lentUse.rate, recentMaxBound: int64(b.recentMaxBound)}, need
+	return accountState{
+		localBalance:   b.free,
+		rate:           b.ownUse.rate + b.lentUse.rate,
+		recentMaxBound: int64(b.recentMaxBound),
+		idle:           now.Sub(b.lastReserveAt) > idleAfter,
+		scarce:         b.scarce,
+	}, need
 }
--- a/internal/prepaid/balances.go
+++ b/internal/prepaid/balances.go
@@ -63,48 +63,66 @@
 	b := bs.balance(account)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return AccountView{LocalBalance: b.free, LedgerFree: b.ledgerFree, LedgerAge: time.Since(b.ledgerReadAt), LogUnavailable: bs.ledger.UnavailableFor()}
+	view := AccountView{LocalBalance: b.free, LedgerFree: b.ledgerFree, LedgerAge: time.Since(b.ledgerReadAt)}
+	if s := bs.shardOf(account); s != nil {
+		view.LogUnavailable = s.ledger.UnavailableFor()
+	}
+	return view
 }
 
 // LocalBalances holds the local balances of a router, one per account. It is
 // safe for concurrent use.
 type LocalBalances struct {
-	ledger   *Ledger
-	settings func() *catalog.Settings
-	peers    Peers // nil if there are no other routers
-	log      zerolog.Logger
-	events   *counter.Set
-	wakeup   chan struct{}
+	ledgerLog   Log
+	streams     Streams
+	incarnation string
+	settings    func() *catalog.Settings
+	peers       Peers // nil if there are no other routers
+	log         zerolog.Logger
+	events      *counter.Set
+	shards      atomic.Pointer[[]*shard] // nil until the layout was loaded
+	accounts    atomic.Pointer[accountsByShard]
+	settling    settling
 
 	mu       sync.Mutex // guards the map; each balance has its own lock
 	balances map[string]*localBalance
 	loaded   chan struct{} // closed once the ledger was loaded
 
-	needsRefresh atomic.Bool // a request needs a fresh read of the ledger
-
 	sent     *transfers // tokens lent to other routers
+	given    *transfers // tokens given to other routers that did not ask for them
 	received *transfers // tokens borrowed or received from other routers
 }
 
-// NewLocalBalances returns empty local balances. The peers may be nil.
-func NewLocalBalances(ledger *Ledger, settings func() *catalog.Settings, peers Peers, log zerolog.Logger) *LocalBalances {
+// NewLocalBalances returns empty local balances for one incarnation of a router.
+// The name of the incarnation must be unique for all time and begin with the node's
+// name and a slash. The peers may be nil.
+func NewLocalBalances(ledgerLog Log, streams Streams, incarnation string, settings func() *catalog.Settings, peers Peers, log zerolog.Logger) *LocalBalances {
 	return &LocalBalances{
-		ledger:   ledger,
-		settings: settings,
-		peers:    peers,
-		log:      log.With().Str("part", "budget").Logger(),
-		events:   counter.NewSet("budget"),
-		wakeup:   make(chan struct{}, 1),
-		balances: map[string]*localBalance{},
-		loaded:   make(chan struct{}),
-		sent:     newTransfers(),
-		received: newTransfers(),
+		ledgerLog:   ledgerLog,
+		streams:     streams,
+		incarnation: incarnation,
+		settings:    settings,
+		peers:       peers,
+		log:         log.With().Str("part", "budget").Logger(),
+		events:      counter.NewSet("budget"),
+		balances:    map[string]*localBalance{},
+		loaded:      make(chan struct{}),
+		sent:        newTransfers(),
+		given:       newTransfers(),
+		received:    newTransfers(),
 	}
 }
 
-// UnavailableFor returns how long the log has not answered; zero if it answers.
+// UnavailableFor returns how long a part of the log has not answered; zero if it
+// answers.
 func (bs *LocalBalances) UnavailableFor() time.Duration {
-	return bs.ledger.UnavailableFor()
+	longest := time.Duration(0)
+	if shards := bs.shards.Load(); shards != nil {
+		for _, s := range *shards {
+			longest = max(longest, s.ledger.UnavailableFor())
+		}
+	}
+	return longest
 }
 
 // Loaded returns a channel that is closed once the ledger was loaded.
@@ -124,35 +142,59 @@
 }
 
 // Reserve reserves tokens of an account for a request. If the local balance has
-// too few, it waits up to drawTimeout for a draw, and borrows from other routers
-// if a draw can't help. The reservation is nil unless the outcome is Granted.
+// too few, an owner waits up to drawTimeout for a draw and borrows from other
+// routers if a draw can't help; another router borrows from the owners, and draws
+// only if none of them answers. The reservation is nil unless the outcome is
+// Granted.
 func (bs *LocalBalances) Reserve(ctx context.Context, account string, tokens int64) (*Reservation, Outcome) {
 	b := bs.balance(account)
 	b.observeRequest(tokens)
-	if b.reserve(tokens) {
-		return &Reservation{balance: b, tokens: tokens}, Granted
+	outcome := Granted
+	if !b.reserve(tokens) {
+		outcome = bs.awaitTokens(ctx, b, tokens)
+	}
+	if outcome != Granted {
+		return nil, bs.countRefusal(outcome)
 	}
+	return &Reservation{balance: b, tokens: tokens}, Granted
+}
+
+// awaitTokens gets tokens for a request that the local balance doesn't cover, and
+// reserves them if the outcome is Granted.
+func (bs *LocalBalances) awaitTokens(ctx context.Context, b *localBalance, tokens int64) Outcome {
 	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
 	defer cancel()
+	b.addWaiter(tokens)
+	defer b.removeWaiter(tokens)
 	if _, isOwner := bs.owners(b); !isOwner {
-		bs.borrowFromOwners(ctx, b, tokens)
+		if outcome, decided := bs.reserveFromOwners(ctx, b, tokens); decided {
+			return outcome
+		}
+		b.addDrawWaiter()
+		defer b.removeDrawWaiter()
 	}
+	return bs.reserveByDraw(ctx, b, tokens)
+}
+
+// reserveByDraw waits for a draw of this router, and borrows from other routers if
+// the draw takes long or the ledger has too few tokens.
+func (bs *LocalBalances) reserveByDraw(ctx context.Context, b *localBalance, tokens int64) Outcome {
 	askedAll, started := false, time.Now()
 	for !b.reserve(tokens) {
-		unavailable := bs.ledger.Unavailable()
+		unavailable := bs.logUnavailable(b.account)
 		switch {
 		case !unavailable && b.reservedForSmall(tokens):
 			if !bs.ensureFreshLedger(ctx, b) {
-				return nil, bs.countRefusal(Unreachable)
+				return Unreachable
 			}
 			if b.reservedForSmall(tokens) {
-				return nil, bs.countRefusal(ReservedForSmall)
+				return ReservedForSmall
 			}
 			continue
 		case unavailable || b.shortageKnown(tokens, time.Now()):
 			return bs.borrowFromAll(ctx, b, tokens, unavailable)
 		case ctx.Err() != nil:
-			return nil, bs.countRefusal(Unreachable)
+			return Unreachable
 		case !askedAll && time.Since(started) >= borrowFromAllAfter:
 			askedAll = true
 			bs.borrow(ctx, b, tokens, true)
@@ -162,17 +204,9 @@
 		if !askedAll {
 			limit = borrowFromAllAfter - time.Since(started)
 		}
-		bs.awaitDraw(ctx, b, tokens, limit)
+		bs.awaitDraw(ctx, b, limit)
 	}
-	return &Reservation{balance: b, tokens: tokens}, Granted
-}
-
-// borrowFromOwners borrows from the owners of an account. Owners that crashed
-// recently do not answer, so the timeout leaves time for a draw.
-func (bs *LocalBalances) borrowFromOwners(ctx context.Context, b *localBalance, tokens int64) {
-	ctx, cancel := context.WithTimeout(ctx, ownerBorrowTimeout)
-	defer cancel()
-	bs.borrow(ctx, b, tokens, false)
+	return Granted
 }
 
 // ensureFreshLedger waits until the ledger data of an account is at most
@@ -182,8 +216,10 @@
 		return true
 	}
 	ledgerRead := b.nextLedgerRead(time.Now())
-	bs.needsRefresh.Store(true)
-	bs.triggerRebalance()
+	if s := bs.shardOf(b.account); s != nil {
+		s.needsRefresh.Store(true)
+		s.triggerRebalance()
+	}
 	select {
 	case <-ledgerRead:
 		return true
@@ -192,35 +228,27 @@
 	}
 }
 
-// triggerRebalance makes Run start its next round now.
-func (bs *LocalBalances) triggerRebalance() {
-	select {
-	case bs.wakeup <- struct{}{}:
-	default:
+// triggerRebalance makes the next round of an account's shard start now.
+func (bs *LocalBalances) triggerRebalance(account string) {
+	if s := bs.shardOf(account); s != nil {
+		s.triggerRebalance()
 	}
 }
 
-// borrowFromAll borrows from all other routers if a draw can't help.
-func (bs *LocalBalances) borrowFromAll(ctx context.Context, b *localBalance, tokens int64, unavailable bool) (*Reservation, Outcome) {
-	bs.borrow(ctx, b, tokens, true)
-	switch {
-	case b.reserve(tokens):
-		return &Reservation{balance: b, tokens: tokens}, Granted
-	case unavailable:
-		return nil, bs.countRefusal(Unreachable)
-	default:
-		return nil, bs.countRefusal(Exhausted)
-	}
+// logUnavailable reports whether the log did not answer the last call for an
+// account.
+func (bs *LocalBalances) logUnavailable(account string) bool {
+	s := bs.shardOf(account)
+	return s != nil && s.ledger.Unavailable()
 }
 
 // awaitDraw triggers a draw and waits until tokens arrive, a shortage is
 // recorded, the limit has passed or ctx ends.
-func (bs *LocalBalances) awaitDraw(ctx context.Context, b *localBalance, tokens int64, limit time.Duration) {
+func (bs *LocalBalances) awaitDraw(ctx context.Context, b *localBalance, limit time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	changed := b.addWaiter(tokens)
-	defer b.removeWaiter(tokens)
-	bs.triggerRebalance()
+	changed := b.nextChange()
+	bs.triggerRebalance(b.account)
 	select {
 	case <-changed:
 	case <-ctx.Done():
@@ -250,6 +278,28 @@
 	return b.changed
 }
 
+// nextChange returns the channel that is closed when tokens arrive or a shortage
+// is recorded. It is for callers that have called addWaiter.
+func (b *localBalance) nextChange() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.changed
+}
+
+// addDrawWaiter registers a waiting request for which this router must draw
+// although it is not an owner.
+func (b *localBalance) addDrawWaiter() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.drawWaiters++
+}
+
+func (b *localBalance) removeDrawWaiter() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.drawWaiters--
+}
+
 func (b *localBalance) removeWaiter(tokens int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/prepaid/balances_test.go
+++ b/internal/prepaid/balances_test.go
@@ -128,7 +128,7 @@
 			f.stops[i]()
 			f.down[i] = true
 		}
-		owners := ownersOf("maps", clusterPeers{f, 0}.Fleet().Routers)
+		owners := f.owners("maps")
 		for i := range f.routers {
 			if slices.Contains(owners, fmt.Sprint(i)) {
 				f.stops[i]()
@@ -216,7 +216,7 @@
 	for _, router := range f.routers {
 		_, outcome := router.Reserve(t.Context(), "maps", 10*f.prepaid)
 		require.Equal(t, Unreachable, outcome)
-		require.True(t, router.ledger.Unavailable())
+		require.True(t, router.logUnavailable("maps"))
 	}
 }
 
@@ -247,8 +247,9 @@
 				if down {
 					require.Equal(t, other+held, f.routers[1].View("maps").LocalBalance)
 				} else {
-					require.NoError(t, f.routers[0].ledger.Load(t.Context()))
-					drawn, _ := f.routers[0].ledger.Drawn("maps")
+					ledger := f.routers[0].shardOf("maps").ledger
+					require.NoError(t, ledger.Load(t.Context()))
+					drawn, _ := ledger.Drawn("maps")
 					require.Equal(t, other, drawn)
 				}
 				f.stopAll()
--- a/internal/prepaid/cluster_test.go
+++ b/internal/prepaid/cluster_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,9 +26,15 @@
 	stops         []context.CancelFunc
 	lostReplies   int          // replies to loans still to be lost
 	extraAccounts int          // number of accounts besides "maps"
-	calls         int          // between routers
-	partitioned   bool         // routers cannot call each other
-	down          map[int]bool // routers that do not answer calls
+	calls         atomic.Int64 // between routers
+	callTime      time.Duration
+	fleet         Fleet
+	shards        int
+
+	mu          sync.Mutex // guards built
+	built       *catalog.Settings
+	partitioned bool         // routers cannot call each other
+	down        map[int]bool // routers that do not answer calls
 }
 
 // clusterPeers implements Peers for one router of a cluster.
@@ -36,28 +44,19 @@
 }
 
 func (n clusterPeers) Fleet() Fleet {
-	f := Fleet{Self: fmt.Sprint(n.self), Loaded: true}
-	for i := range n.cluster.routers {
-		f.Routers = append(f.Routers, fmt.Sprint(i))
-	}
+	f := n.cluster.fleet
+	f.Self, f.Loaded = fmt.Sprint(n.self), true
 	return f
 }
 
-func (n clusterPeers) Borrow(ctx context.Context, args BorrowArgs, first []string, all bool, receive func(BorrowReply) int64) (complete bool) {
+func (n clusterPeers) Borrow(ctx context.Context, args BorrowArgs, first []string, others bool, receive func(BorrowReply) int64) (complete bool) {
 	if n.cluster.partitioned {
 		return false
 	}
 	complete = true
-	order := append([]string(nil), first...)
-	for i := range n.cluster.routers {
-		if name := fmt.Sprint(i); all && !slices.Contains(first, name) {
-			order = append(order, name)
-		}
-	}
-	for _, name := range order {
-		i, _ := strconv.Atoi(name) // names are indices
+	for _, i := range n.callOrder(first, others) {
 		other := n.cluster.routers[i]
-		if i == n.self || other == nil || args.Want <= 0 {
+		if args.Want <= 0 {
 			continue
 		}
 		if n.cluster.down[i] {
@@ -67,37 +66,82 @@
 			}
 			continue
 		}
-		n.cluster.calls++
+		n.cluster.calls.Add(1)
+		if n.cluster.callTime > 0 && !sleepOrWake(ctx, n.cluster.callTime, nil) {
+			return false
+		}
 		reply := other.Lend(args)
 		if n.cluster.lostReplies > 0 {
 			n.cluster.lostReplies--
 			complete = false
 			continue
 		}
-		args.Want = receive(reply)
+		more := receive(reply)
+		args.Need -= args.Want - more
+		args.Want = more
 	}
 	return complete
 }
 
-func (n clusterPeers) Transfer(_ context.Context, args TransferArgs) error {
-	n.cluster.routers[(n.self+1)%len(n.cluster.routers)].Receive(args)
-	return nil
+// maxOthers is how many routers that were not named are asked.
+const maxOthers = 16
+
+// callOrder returns the named routers, followed by some of the others.
+func (n clusterPeers) callOrder(first []string, others bool) []int {
+	var order []int
+	for _, name := range first {
+		if i, _ := strconv.Atoi(name); i != n.self && n.cluster.routers[i] != nil { // names are indices
+			order = append(order, i)
+		}
+	}
+	if !others {
+		return order
+	}
+	named := len(order)
+	for i := range n.cluster.routers {
+		i = (n.self + i) % len(n.cluster.routers)
+		if i != n.self && n.cluster.routers[i] != nil && !slices.Contains(first, fmt.Sprint(i)) && len(order) < named+maxOthers {
+			order = append(order, i)
+		}
+	}
+	return order
+}
+
+func (n clusterPeers) Transfer(_ context.Context, first []string, others bool, args func(string) TransferArgs) (bool, error) {
+	for _, i := range n.callOrder(first, others) {
+		if n.cluster.partitioned || n.cluster.down[i] {
+			continue
+		}
+		receiver := n.cluster.routers[i]
+		return true, receiver.Receive(args(receiver.incarnation))
+	}
+	return false, nil
 }
 
 func (f *cluster) settings() *catalog.Settings {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.built != nil {
+		return f.built
+	}
 	accounts := []*catalog.Account{{Name: "maps", PrepaidTokens: f.prepaid, Metered: true}}
 	for i := range f.extraAccounts {
 		accounts = append(accounts, &catalog.Account{Name: fmt.Sprint(i), PrepaidTokens: f.prepaid, Metered: true})
 	}
-	return catalog.Build(catalog.Draft{Version: f.version, Accounts: accounts})
+	f.built = catalog.Build(catalog.Draft{Version: f.version, Accounts: accounts})
+	return f.built
 }
 
 // start starts new incarnations of n routers.
 func (f *cluster) start(t *testing.T, n int) {
 	f.routers, f.stops = make([]*LocalBalances, n), make([]context.CancelFunc, n)
+	f.fleet = Fleet{Version: f.fleet.Version + 1}
+	for i := range n {
+		f.fleet.Routers = append(f.fleet.Routers, fmt.Sprint(i))
+	}
 	for i := range n {
 		name := fmt.Sprintf("%d/%s/%d", i, t.Name(), time.Now().UnixNano())
-		f.routers[i] = NewLocalBalances(newTestLedger(f.log, name), f.settings, clusterPeers{f, i}, zerolog.Nop())
+		f.routers[i] = NewLocalBalances(f.log, Streams{Budgets: stream, Layout: "layout", Shards: f.shards}, name, f.settings, clusterPeers{f, i}, zerolog.Nop())
 		ctx, cancel := context.WithCancel(t.Context())
 		f.stops[i] = cancel
 		go f.routers[i].Run(ctx)
@@ -143,3 +187,9 @@
 	}
 	return out
 }
+
+// owners returns the owners of an account.
+func (f *cluster) owners(account string) []string {
+	owners, _ := f.routers[0].owners(f.routers[0].balance(account))
+	return owners
+}
--- a/internal/prepaid/controller.go
+++ b/internal/prepaid/controller.go
@@ -3,25 +3,25 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 
 	"github.com/camphorlever/camphorlever/internal/catalog"
 )
 
 // Timing of the rebalancing loop.
 const (
-	// minRebalanceInterval is the shortest interval between two rounds when no
-	// request waits for tokens.
+	// minRebalanceInterval is the shortest interval between two rounds of an
+	// owner when no request waits for tokens. The owners of a shard together
+	// make at most 16 appends per second in this way; an append takes the log
+	// 4 ms.
 	minRebalanceInterval = 250 * time.Millisecond
-	// rebalanceIntervalPerRouter keeps the appends of all routers below 40 per
-	// second, which leaves room for appends that conflict and are retried: an
-	// append takes the log 4 ms.
-	rebalanceIntervalPerRouter = 28 * time.Millisecond
-	// maxRebalanceInterval is well below outageHorizon, since local balances
-	// shrink between two rounds.
-	maxRebalanceInterval = 2 * time.Second
+	// idleRebalanceInterval is the interval between two rounds of a router that
+	// is not an owner. It only gives back tokens that it doesn't need.
+	idleRebalanceInterval = time.Second
 	// loadRetryDelay is the pause after the ledger could not be loaded.
 	loadRetryDelay = 100 * time.Millisecond
 )
@@ -29,25 +29,33 @@
 // Run loads the ledger, then draws tokens before local balances run low and
 // returns tokens that are not needed, until ctx ends.
 func (bs *LocalBalances) Run(ctx context.Context) {
-	for bs.ledger.Load(ctx) != nil {
-		bs.events.Inc("load_failed")
-		if !sleepOrWake(ctx, loadRetryDelay, nil) {
-			return
-		}
+	shards := bs.loadShards(ctx)
+	if ctx.Err() != nil {
+		return
 	}
 	close(bs.loaded)
-	for sleepOrWake(ctx, bs.rebalanceInterval(), bs.wakeup) {
-		bs.rebalance(ctx)
+	var loops conc.WaitGroup
+	for i := range shards {
+		loops.Go(func() { bs.runShard(ctx, shards, i) })
+	}
+	loops.Wait()
+}
+
+// runShard rebalances the accounts of one shard until ctx ends.
+func (bs *LocalBalances) runShard(ctx context.Context, shards []*shard, index int) {
+	s := shards[index]
+	for sleepOrWake(ctx, bs.rebalanceInterval(s), s.wakeup) {
+		accounts, version := bs.accountsOf(index, len(shards))
+		bs.rebalance(ctx, s, accounts, version)
 	}
 }
 
-// rebalanceInterval returns the time until the next round. While the log is
-// unavailable it is the shortest one, so that recovery is detected soon.
-func (bs *LocalBalances) rebalanceInterval() time.Duration {
-	if bs.ledger.Unavailable() {
+// rebalanceInterval returns the time until the next round of a shard.
+func (bs *LocalBalances) rebalanceInterval(s *shard) time.Duration {
+	if _, isOwner := s.ownersIn(bs.fleet()); isOwner {
 		return minRebalanceInterval
 	}
-	return min(max(minRebalanceInterval, time.Duration(len(bs.fleet().Routers))*rebalanceIntervalPerRouter), maxRebalanceInterval)
+	return idleRebalanceInterval
 }
 
 // sleepOrWake waits for d or for a wakeup. It returns false if ctx ended.
@@ -62,39 +70,32 @@
 	return ctx.Err() == nil
 }
 
-// rebalance makes all planned changes in one append, if at least one of them is
-// urgent.
-func (bs *LocalBalances) rebalance(ctx context.Context) {
-	settings := bs.settings()
-	if settings == nil {
-		return
-	}
-	if bs.needsRefresh.Swap(false) {
-		if err := bs.ledger.Update(ctx); err != nil {
+// rebalance makes all planned changes of a shard in one append, if at least one of
+// them is urgent.
+func (bs *LocalBalances) rebalance(ctx context.Context, s *shard, accounts []*catalog.Account, version int64) {
+	if s.needsRefresh.Swap(false) {
+		if err := s.ledger.Update(ctx); err != nil {
 			bs.events.Inc("look_failed")
 			bs.log.Warn().Err(err).Msg("budget entries could not be read before refusing a request")
 		}
 	}
-	var all []plannedChange
-	urgent := false
-	settings.ForEachAccount(func(a *catalog.Account) {
-		if a.Metered {
-			d := bs.planChange(a, settings.Version)
-			urgent = urgent || d.urgent
-			all = append(all, d)
-		}
-	})
-	if !urgent {
+	ahead := bs.mayDrawAhead(bs.fleet(), time.Now())
+	all := make([]plannedChange, 0, len(accounts))
+	for _, a := range accounts {
+		all = append(all, bs.planChange(s, a, version, ahead))
+	}
+	all = bs.giveBack(ctx, s, all)
+	if !slices.ContainsFunc(all, func(d plannedChange) bool { return d.urgent }) {
 		return
 	}
-	var changes []Change
 	all = slices.DeleteFunc(all, func(d plannedChange) bool {
 		return d.change.Draw == 0 && d.change.Return == 0 && d.need == 0
 	})
+	changes := make([]Change, 0, len(all))
 	for _, d := range all {
 		changes = append(changes, d.change)
 	}
-	results, err := bs.ledger.Apply(ctx, changes)
+	results, err := s.ledger.Apply(ctx, changes)
 	now := time.Now()
 	if err != nil {
 		bs.handleApplyError(err, all)
@@ -130,32 +131,70 @@
 	urgent  bool  // the change justifies an append by itself
 }
 
-// planChange returns the ledger change that an account needs now.
-func (bs *LocalBalances) planChange(a *catalog.Account, version int64) plannedChange {
+// planChange returns the ledger change that an account needs now. Tokens that no
+// request waits for are drawn only if ahead is set.
+func (bs *LocalBalances) planChange(s *shard, a *catalog.Account, version int64, ahead bool) plannedChange {
 	b := bs.balance(a.Name)
-	drawn, readAt := bs.ledger.Drawn(a.Name)
-	free := a.PrepaidTokens - drawn
-	s, need := b.update(time.Now(), free, a.PrepaidTokens)
-	b.recordLedgerRead(readAt)
-	s.ledgerFree = free
+	drawn, readAt := s.ledger.Drawn(a.Name)
 	fleet := bs.fleet()
 	owners, isOwner := bs.owners(b)
-	s.isOwner, s.ownerCount, s.routerCount = isOwner && fleet.Loaded, len(owners), len(fleet.Routers)
-	s.otherOwnersRate, s.otherOwnersKnown = bs.ledger.OtherOwnerRates(a.Name)
-	d := plannedChange{balance: b, need: need, change: Change{Account: a.Name, Paid: a.PrepaidTokens, SettingsVersion: version, Owner: isOwner, Rate: s.rate}}
-	draw, low := s.draw()
+	isOwner = isOwner && fleet.Loaded
+	free := a.PrepaidTokens - drawn
+	state, need := b.update(time.Now(), free, a.PrepaidTokens, isOwner)
+	b.recordLedgerRead(readAt)
+	state.ledgerFree, state.isOwner, state.ownerCount = free, isOwner, len(owners)
+	state.otherOwnersRate, state.otherOwnersKnown = s.ledger.OtherOwnerRates(a.Name)
+	d := plannedChange{balance: b, need: need, change: Change{Account: a.Name, Paid: a.PrepaidTokens, SettingsVersion: version, Owner: isOwner, Rate: state.rate}}
+	draw, low := state.draw()
 	if need > 0 {
 		d.change.Draw, d.urgent = max(need, draw), true
 		return d
 	}
-	if excess := s.excess(); excess > 0 {
+	if excess := state.excess(); excess > 0 {
 		d.change.Return, d.urgent = b.withdraw(excess), true
 		return d
 	}
-	d.change.Draw, d.urgent = draw, low
+	if ahead {
+		d.change.Draw, d.urgent = draw, low
+	}
 	return d
 }
 
+// Conditions of draws in advance after the start. Routers that start at the same
+// time learn of each other one by one, and each draw of a router that is not an
+// owner after all would have to be returned.
+const (
+	// fleetSettleTime is how long the set of routers must have been the same.
+	fleetSettleTime = 400 * time.Millisecond
+	// maxSettleWait is how long after the start tokens are drawn in any case.
+	maxSettleWait = 3 * time.Second
+)
+
+// settling tells when the set of routers was first known long enough to act on
+// it.
+type settling struct {
+	mu        sync.Mutex // guards all below
+	startedAt time.Time  // of the first round
+	version   uint64     // last seen version of the fleet
+	since     time.Time  // when that version was first seen
+	done      bool
+}
+
+// mayDrawAhead reports whether tokens may be drawn that no request waits for.
+func (bs *LocalBalances) mayDrawAhead(fleet Fleet, now time.Time) bool {
+	st := &bs.settling
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.startedAt.IsZero() {
+		st.startedAt = now
+	}
+	if st.since.IsZero() || fleet.Version != st.version {
+		st.version, st.since = fleet.Version, now
+	}
+	st.done = st.done || (fleet.Loaded && now.Sub(st.since) >= fleetSettleTime) || now.Sub(st.startedAt) >= maxSettleWait
+	return st.done
+}
+
 // applyResult updates the local balance with the result of a change.
 func (bs *LocalBalances) applyResult(d plannedChange, r Result, now time.Time) {
 	if d.change.Return > 0 {
@@ -177,33 +216,43 @@
 }
 
 // Release gives up all local balances when the router stops, after Run has
-// ended. They are returned to the ledger, or transferred to another router if
-// the ledger is unavailable.
+// ended. The tokens of each shard go to one of its owners, or to the ledger if
+// that can't be reached; while the log is unavailable, to any other router.
 func (bs *LocalBalances) Release(ctx context.Context) {
-	settings := bs.settings()
-	if settings == nil {
+	shards := bs.shards.Load()
+	if shards == nil {
 		return
 	}
+	var releases conc.WaitGroup
+	for i, s := range *shards {
+		accounts, version := bs.accountsOf(i, len(*shards))
+		releases.Go(func() { bs.releaseShard(ctx, s, accounts, version) })
+	}
+	releases.Wait()
+}
+
+func (bs *LocalBalances) releaseShard(ctx context.Context, s *shard, accounts []*catalog.Account, version int64) {
 	var changes []Change
-	totals := map[string]int64{}
-	settings.ForEachAccount(func(a *catalog.Account) {
-		if !a.Metered {
-			return
+	tokens := map[string]int64{}
+	for _, a := range accounts {
+		if held := bs.balance(a.Name).withdraw(a.PrepaidTokens); held > 0 {
+			changes = append(changes, Change{Account: a.Name, Paid: a.PrepaidTokens, SettingsVersion: version, Return: held})
+			tokens[a.Name] = held
 		}
-		if tokens := bs.balance(a.Name).withdraw(a.PrepaidTokens); tokens > 0 {
-			changes = append(changes, Change{Account: a.Name, Paid: a.PrepaidTokens, SettingsVersion: settings.Version, Return: tokens})
-			totals[a.Name] = tokens
-		}
-	})
+	}
 	if len(changes) == 0 {
 		return
 	}
-	if bs.ledger.Unavailable() && bs.peers != nil {
-		err := bs.peers.Transfer(ctx, TransferArgs{Giver: bs.ledger.incarnation, Totals: totals})
-		bs.log.Info().Err(err).Int("accounts", len(totals)).Msg("transfer of the local balances to another router ended")
-		return // after an error, a router may or may not have received the tokens
+	owners, isOwner := s.ownersIn(bs.fleet())
+	unavailable := s.ledger.Unavailable()
+	if bs.peers != nil && (unavailable || !isOwner) {
+		sent, err := bs.transfer(ctx, owners, unavailable, tokens)
+		if sent {
+			bs.log.Info().Err(err).Int("accounts", len(tokens)).Msg("transfer of the local balances to another router ended")
+			return // after an error, the router may or may not have received the tokens
+		}
 	}
-	if _, err := bs.ledger.Apply(ctx, changes); err != nil {
+	if _, err := s.ledger.Apply(ctx, changes); err != nil {
 		bs.log.Warn().Err(err).Int("accounts", len(changes)).Msg("local balances could not be returned to the ledger")
 		return
 	}
--- a/internal/prepaid/fake_test.go
+++ b/internal/prepaid/fake_test.go
@@ -12,17 +12,38 @@
 	"github.com/camphorlever/camphorlever/internal/logservice"
 )
 
-// fakeLog is one keyed stream in memory with injectable faults.
+// fakeLog is keyed streams in memory with injectable faults.
 type fakeLog struct {
-	mu      sync.Mutex
-	entries []logservice.KeyedEntry
-	first   ident.Offset // older ones are trimmed
-	delayed []func()     // appends without a reply that may take effect later
-	faults  *rand.Rand   // nil: no faults
-	down    bool         // all calls fail
-	appends int
-	reads   int
-	latency time.Duration // of each call
+	mu         sync.Mutex
+	streams    map[logservice.Stream]*fakeStream
+	delayed    []func()      // appends without a reply that may take effect later
+	faults     *rand.Rand    // nil: no faults
+	down       bool          // all calls fail
+	appends    int           // to the streams of the ledger
+	reads      int           // of the streams of the ledger
+	latency    time.Duration // of each call
+	appendTime time.Duration // that an append occupies its stream, also if its condition fails
+}
+
+// fakeStream is one keyed stream.
+type fakeStream struct {
+	entries   []logservice.KeyedEntry
+	first     ident.Offset // older ones are trimmed
+	busyUntil time.Time    // when the appends that wait are done
+}
+
+// maxAppendQueue is for how long appends may wait before further ones are refused.
+const maxAppendQueue = 2 * time.Second
+
+// stream returns a stream and creates it on first use. The lock is held.
+func (l *fakeLog) stream(name logservice.Stream) *fakeStream {
+	if l.streams == nil {
+		l.streams = map[logservice.Stream]*fakeStream{}
+	}
+	if l.streams[name] == nil {
+		l.streams[name] = &fakeStream{}
+	}
+	return l.streams[name]
 }
 
 var errReplyLost = errors.New("reply is lost")
@@ -31,25 +52,26 @@
 	return l.faults != nil && l.faults.Float64() < share
 }
 
-func (l *fakeLog) NewestPage(context.Context, logservice.Stream, string) (logservice.NewestPage, error) {
+func (l *fakeLog) NewestPage(_ context.Context, name logservice.Stream, _ string) (logservice.NewestPage, error) {
 	l.sleepLatency()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down || l.chance(0.1) {
 		return logservice.NewestPage{}, logservice.Unavailable(errReplyLost)
 	}
+	s := l.stream(name)
 	newest := map[string]logservice.KeyedEntry{}
-	for _, e := range l.entries {
+	for _, e := range s.entries {
 		newest[e.Key] = e
 	}
 	var list []logservice.KeyedEntry
 	for _, e := range newest {
 		list = append(list, e)
 	}
-	return logservice.NewestPage{Entries: list, End: ident.Offset(len(l.entries))}, nil
+	return logservice.NewestPage{Entries: list, End: ident.Offset(len(s.entries))}, nil
 }
 
-func (l *fakeLog) ReadKeyed(_ context.Context, _ logservice.Stream, from ident.Offset, _ time.Duration) ([]logservice.KeyedEntry, ident.Offset, error) {
+func (l *fakeLog) ReadKeyed(_ context.Context, name logservice.Stream, from ident.Offset, _ time.Duration) ([]logservice.KeyedEntry, ident.Offset, error) {
 	l.sleepLatency()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -57,27 +79,32 @@
 	if l.down || l.chance(0.1) {
 		return nil, 0, logservice.Unavailable(errReplyLost)
 	}
-	if from < l.first {
+	s := l.stream(name)
+	if from < s.first {
 		return nil, 0, logservice.ErrTrimmed
 	}
-	return append([]logservice.KeyedEntry(nil), l.entries[min(int(from), len(l.entries)):]...), ident.Offset(len(l.entries)), nil
+	return append([]logservice.KeyedEntry(nil), s.entries[min(int(from), len(s.entries)):]...), ident.Offset(len(s.entries)), nil
 }
 
-func (l *fakeLog) AppendAt(_ context.Context, _ logservice.Stream, at ident.Offset, entries ...logservice.KeyedEntry) error {
+// AppendAt implements Log.
+func (l *fakeLog) AppendAt(ctx context.Context, name logservice.Stream, at ident.Offset, entries ...logservice.KeyedEntry) error {
 	l.sleepLatency()
+	if err := l.queueAppend(ctx, name); err != nil {
+		return err
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.appends++
 	if l.down {
 		return logservice.Unavailable(errReplyLost)
 	}
+	s := l.stream(name)
 	apply := func() bool {
-		if at != ident.Offset(len(l.entries)) {
+		if at != ident.Offset(len(s.entries)) {
 			return false
 		}
 		for i, e := range entries {
 			e.Offset = at + ident.Offset(i)
-			l.entries = append(l.entries, e)
+			s.entries = append(s.entries, e)
 		}
 		return true
 	}
@@ -95,7 +122,29 @@
 		return logservice.ErrMoved
 	}
 	if l.chance(0.02) { // the history is trimmed, the newest entries stay
-		l.first = ident.Offset(len(l.entries))
+		s.first = ident.Offset(len(s.entries))
+	}
+	return nil
+}
+
+// queueAppend waits for the appends before this one.
+func (l *fakeLog) queueAppend(ctx context.Context, name logservice.Stream) error {
+	l.mu.Lock()
+	l.appends++
+	s := l.stream(name)
+	now := time.Now()
+	if s.busyUntil.Before(now) {
+		s.busyUntil = now
+	}
+	wait := s.busyUntil.Sub(now) + l.appendTime
+	if wait > maxAppendQueue {
+		l.mu.Unlock()
+		return logservice.Unavailable(errors.New("too many appends wait"))
+	}
+	s.busyUntil = now.Add(wait)
+	l.mu.Unlock()
+	if !sleepOrWake(ctx, wait, nil) {
+		return logservice.Unavailable(ctx.Err())
 	}
 	return nil
 }
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -52,8 +53,8 @@
 // effect. The tokens that it would have drawn are not granted to any router.
 var ErrUnresolved = errors.New("outcome of the append is unknown: its entries were trimmed and replaced")
 
-// NotWrittenError means that a change was not sent, because reading the log
-// before it failed with Cause.
+// NotWrittenError means that a change was not written and will not be, because
+// reading the log before it failed, or ctx ended after a conflict.
 type NotWrittenError struct{ Cause error }
 
 // Error implements error.
@@ -74,6 +75,11 @@
 	loadTimeout = 10 * time.Second
 	// retryDelay is the delay before a failed append is retried.
 	retryDelay = 100 * time.Millisecond
+	// minConflictPause and maxConflictPause bound the random pause after an
+	// append whose condition failed. The limit doubles with each conflict in a
+	// row; an append takes the log 4 ms.
+	minConflictPause = 4 * time.Millisecond
+	maxConflictPause = 250 * time.Millisecond
 )
 
 // Ledger is a router's copy of the budget entries of all accounts. Load, Update
@@ -162,7 +168,7 @@
 
 // Apply makes changes in one append. It retries until the outcome of the append
 // is known or ctx ends. The results are in the order of the changes. It fails
-// with a NotWrittenError if nothing was sent, and with ErrUnresolved if the
+// with a NotWrittenError if nothing was or will be written, and with ErrUnresolved if the
 // outcome can't be determined.
 //
 // Only a fresh read shows that an account has too few tokens: other routers may
@@ -176,14 +182,14 @@
 		}
 		fresh = true
 	}
-	for {
+	for conflicts := 0; ; conflicts++ {
 		results, entries := l.plan(changes)
 		if !fresh && anyShortfall(changes, results) {
 			if err := l.refresh(ctx); err != nil {
 				return nil, &NotWrittenError{Cause: err}
 			}
 			fresh = true
-			continue
+			results, entries = l.plan(changes)
 		}
 		if len(entries) == 0 {
 			return results, nil
@@ -197,9 +203,19 @@
 		}
 		l.events.Inc("conflicts")
 		fresh = true
+		if !sleepOrWake(ctx, conflictPause(conflicts), nil) {
+			return nil, &NotWrittenError{Cause: errors.Wrap(ctx.Err(), "append of budget entries")}
+		}
 	}
 }
 
+// conflictPause returns a random pause after a number of conflicts in a row. Appends
+// that fail occupy the stream as long as others, so many writers without a pause
+// would keep each other from succeeding.
+func conflictPause(conflicts int) time.Duration {
+	return rand.N(min(minConflictPause<<min(conflicts, 10), maxConflictPause))
+}
+
 // anyShortfall reports whether any change was granted fewer tokens than it
 // requested.
 func anyShortfall(changes []Change, results []Result) bool {
--- a/internal/prepaid/ledger_test.go
+++ b/internal/prepaid/ledger_test.go
@@ -93,7 +93,8 @@
 }
 
 func TestUndecodableEntryFailsApply(t *testing.T) {
-	log := &fakeLog{entries: []logservice.KeyedEntry{{Key: "maps", Value: []byte{0xc1}}}}
+	log := &fakeLog{}
+	log.stream(stream).entries = []logservice.KeyedEntry{{Key: "maps", Value: []byte{0xc1}}}
 	_, err := newTestLedger(log, "a").Apply(context.Background(), []Change{{Account: "maps", Paid: 100, SettingsVersion: 1, Draw: 70}})
 	require.Error(t, err)
 }
--- a/internal/prepaid/lend.go
+++ b/internal/prepaid/lend.go
@@ -2,98 +2,121 @@
 
 import (
 	"context"
-	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
-// lendShare is the largest part of its local balance that a router lends while
-// the log is available, since it can then draw again.
-const lendShare = 0.8
+// Limits of loans.
+const (
+	// lendShare is the largest part of its local balance that a router lends while
+	// the log is available, since it can then draw again.
+	lendShare = 0.8
+	// lendDrawTimeout is how long an owner waits for a draw before it replies with
+	// fewer tokens than the borrower's requests need. An append takes about 10 ms
+	// on a healthy log, and borrowers abandon calls after 120 ms.
+	lendDrawTimeout = 80 * time.Millisecond
+)
 
 // BorrowArgs is the request for a loan of an account's tokens.
 type BorrowArgs struct {
 	Borrower string // incarnation of the borrower
 	Account  string
 	Want     int64   // tokens requested
+	Need     int64   // part of Want that requests wait for
+	Bound    int64   // bound of one of these requests
 	Free     int64   // tokens that the borrower has available
 	Rate     float64 // tokens per second that the borrower uses
 }
 
+// LoanState is why a lender did not lend more.
+type LoanState uint8
+
+// States of a loan.
+const (
+	LoanOpen         LoanState = iota // the lender may have more later
+	LoanShort                         // the ledger has no more tokens, by a recent read
+	LoanLogAway                       // the lender can't reach the log
+	LoanKeptForSmall                  // the remaining tokens are reserved for smaller requests
+	LoanNotOwner                      // the lender is not an owner of the account, or is still loading
+)
+
 // BorrowReply is the reply to a request for a loan.
 type BorrowReply struct {
 	Lender string // incarnation of the lender
 	// Total is the number of the account's tokens that this incarnation has lent
 	// to the borrower's incarnation in all. Since it only grows, the next reply
 	// makes up for a lost one, and a repeated one changes nothing.
-	Total int64
+	Total  int64
+	State  LoanState
+	Scarce bool // the account is nearly used up
 }
 
 // TransferArgs transfers tokens to a router that has not asked for them.
 type TransferArgs struct {
-	Giver  string           // incarnation of the sender
-	Totals map[string]int64 // tokens sent to the receiver in all, by account
+	Giver    string           // incarnation of the sender
+	Receiver string           // incarnation of the receiver; another one must not accept the tokens
+	Totals   map[string]int64 // tokens sent to the receiver in all, by account
 }
 
-// Peers borrows tokens from other routers, and transfers local balances to them
-// when this router stops.
+// Peers borrows tokens from other routers, and transfers tokens to them.
 type Peers interface {
 	// Fleet returns the known routers.
 	Fleet() Fleet
-	// Borrow asks one router after the other: those named in first, then the
-	// others if all is set. It calls receive with each reply, which returns how
-	// many tokens are still wanted, and stops when none are. It reports whether
-	// all routers that were to be asked have answered.
-	Borrow(ctx context.Context, args BorrowArgs, first []string, all bool, receive func(BorrowReply) (more int64)) (complete bool)
-	// Transfer sends tokens to one router. After an error, the router may or may
-	// not have received them.
-	Transfer(ctx context.Context, args TransferArgs) error
-}
-
-// transfers counts the tokens transferred between this incarnation and others, by
-// the other incarnation and account.
-type transfers struct {
-	mu     sync.Mutex // guards totals
-	totals map[transfer]int64
-}
-
-type transfer struct {
-	incarnation, account string
-}
-
-func newTransfers() *transfers {
-	return &transfers{totals: map[transfer]int64{}}
-}
-
-// add adds to a total and returns it.
-func (t *transfers) add(incarnation, account string, tokens int64) int64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	key := transfer{incarnation, account}
-	t.totals[key] += tokens
-	return t.totals[key]
+	// Borrow asks one router after the other: those named in first, then some of
+	// the others if others is set. It calls receive with each reply, which returns
+	// how many tokens are still wanted, and stops when none are. It reports
+	// whether all routers that were to be asked have answered.
+	Borrow(ctx context.Context, args BorrowArgs, first []string, others bool, receive func(BorrowReply) (more int64)) (complete bool)
+	// Transfer sends tokens to one router: the first reachable one of those named
+	// in first, or of the others if others is set. It calls args once with the
+	// router's incarnation, and repeats the call until the router answers or ctx
+	// ends. It returns false if no router is reachable. After an error, the router
+	// may or may not have received the tokens.
+	Transfer(ctx context.Context, first []string, others bool, args func(receiver string) TransferArgs) (sent bool, err error)
 }
 
-// raiseTo raises a total to the given value if it is lower, and returns the
-// increase.
-func (t *transfers) raiseTo(incarnation, account string, total int64) int64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	key := transfer{incarnation, account}
-	gained := max(total-t.totals[key], 0)
-	t.totals[key] += gained
-	return gained
-}
-
-// Lend lends tokens of the local balance to another router. While the log is
-// unavailable, it splits the tokens such that both routers' balances last equally
-// long. Otherwise an owner refuses large loans to reserve the last tokens for
-// small requests, as it does for its own callers.
+// Lend lends tokens of the local balance to another router. An owner draws more if
+// the borrower's requests need them.
 func (bs *LocalBalances) Lend(args BorrowArgs) BorrowReply {
 	b := bs.balance(args.Account)
+	_, isOwner := bs.owners(b)
+	if isOwner {
+		b.observeLoan(args.Bound)
+	}
+	lent, state := bs.lendFree(b, args)
+	if isOwner && state == LoanOpen && lent < args.Need {
+		more, newState := bs.lendDrawn(b, args, lent)
+		lent, state = lent+more, newState
+	}
+	if !isOwner {
+		state = LoanNotOwner
+	}
+	if lent > 0 {
+		bs.events.Inc("lent")
+		bs.log.Debug().Str("account", args.Account).Str("router", args.Borrower).Int64("tokens", lent).
+			Int64("left", b.available()).Msg("tokens lent to another router")
+	}
+	return BorrowReply{
+		Lender: bs.incarnation,
+		Total:  bs.sent.add(args.Borrower, args.Account, lent),
+		State:  state,
+		Scarce: isOwner && b.isScarce(),
+	}
+}
+
+// lendFree lends tokens that this router has. While the log is unavailable, it
+// splits them such that both routers' balances last equally long. Otherwise an
+// owner refuses large loans to reserve the last tokens for small requests, as it
+// does for its own callers.
+func (bs *LocalBalances) lendFree(b *localBalance, args BorrowArgs) (int64, LoanState) {
+	away := bs.logUnavailable(b.account)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	amount := float64(b.free) * lendShare
-	if bs.ledger.Unavailable() {
+	state, amount := LoanOpen, float64(b.free)*lendShare
+	switch {
+	case away:
+		state = LoanLogAway
 		// The rate of a borrower that has not used the account yet is estimated
 		// from the tokens that it wants.
 		otherRate := max(args.Rate, float64(args.Want)/outageHorizon.Seconds())
@@ -102,101 +125,113 @@
 			keepShare = b.ownUse.rate / (b.ownUse.rate + otherRate)
 		}
 		amount = float64(b.free) - keepShare*float64(b.free+args.Free)
-	} else if b.isOwner && b.meanBound > 0 && isReservedForSmall(b.ledgerFree+b.free, b.prepaid, args.Want, b.meanBound) {
-		amount = 0
+	case b.isOwner && isReservedForSmall(b.ledgerFree+b.free, b.prepaid, args.Bound, b.meanBound):
+		return 0, LoanKeptForSmall
 	}
 	lent := max(min(int64(amount), args.Want), 0)
 	b.free -= lent
 	b.lentUse.add(lent)
-	if lent > 0 {
-		bs.events.Inc("lent")
-		bs.log.Info().Str("account", args.Account).Str("router", args.Borrower).Int64("tokens", lent).
-			Int64("left", b.free).Msg("tokens lent to another router")
+	return lent, state
+}
+
+// lendDrawn draws tokens for a loan and lends them, until the need is met, the
+// ledger has no more or lendDrawTimeout has passed.
+func (bs *LocalBalances) lendDrawn(b *localBalance, args BorrowArgs, lent int64) (more int64, state LoanState) {
+	ctx, cancel := context.WithTimeout(context.Background(), lendDrawTimeout)
+	defer cancel()
+	for {
+		missing := args.Need - lent - more
+		if bs.logUnavailable(b.account) {
+			return more, LoanLogAway
+		}
+		if b.shortageKnown(missing, time.Now()) {
+			return more, LoanShort
+		}
+		changed := b.addWaiter(missing)
+		bs.triggerRebalance(b.account)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+		b.removeWaiter(missing)
+		part := b.withdraw(missing)
+		b.recordLent(part)
+		more += part
+		if more+lent >= args.Need || ctx.Err() != nil {
+			return more, LoanOpen
+		}
 	}
-	return BorrowReply{Lender: bs.ledger.incarnation, Total: bs.sent.add(args.Borrower, args.Account, lent)}
 }
 
-// Receive adds the tokens that another router transfers when it stops.
-func (bs *LocalBalances) Receive(args TransferArgs) {
+// errOtherIncarnation means that tokens were sent to an incarnation that has
+// ended.
+var errOtherIncarnation = errors.New("tokens were sent to another incarnation of this router")
+
+// Receive adds the tokens that another router transfers.
+func (bs *LocalBalances) Receive(args TransferArgs) error {
+	if args.Receiver != bs.incarnation {
+		return errOtherIncarnation
+	}
 	for account, total := range args.Totals {
 		if gained := bs.received.raiseTo(args.Giver+"/stop", account, total); gained > 0 {
 			bs.balance(account).deposit(gained)
-			bs.log.Info().Str("account", account).Str("router", args.Giver).Int64("tokens", gained).
-				Msg("tokens received from a stopping router")
+			bs.events.Inc("received")
+			bs.log.Debug().Str("account", account).Str("router", args.Giver).Int64("tokens", gained).
+				Msg("tokens received from another router")
 		}
 	}
+	return nil
 }
 
-// borrowHorizon is how long borrowed tokens should last. A call costs little, but
-// not each request should need one.
-const borrowHorizon = 2 * time.Second
+// giveBackTimeout bounds the transfer of tokens that a router does not need.
+const giveBackTimeout = 250 * time.Millisecond
 
-// borrow borrows tokens from the account's owners, and from all other routers if
-// all is set. Concurrent requests share the calls.
-func (bs *LocalBalances) borrow(ctx context.Context, b *localBalance, tokens int64, all bool) {
-	if bs.peers == nil {
-		return
-	}
-	owners, _ := bs.owners(b)
-	args, done := b.beginBorrow(tokens, bs.ledger.incarnation)
-	if done == nil {
-		b.awaitBorrow(ctx)
-		return
+// giveBack transfers the tokens that a router which is not an owner would return
+// to one of the owners, and leaves out these changes. The owners can lend them
+// again without an append.
+func (bs *LocalBalances) giveBack(ctx context.Context, s *shard, changes []plannedChange) []plannedChange {
+	owners, isOwner := s.ownersIn(bs.fleet())
+	if isOwner || bs.peers == nil {
+		return changes
 	}
-	want := args.Want
-	complete := bs.peers.Borrow(ctx, args, owners, all, func(reply BorrowReply) int64 {
-		received := bs.received.raiseTo(reply.Lender, b.account, reply.Total)
-		want -= received
-		if received > 0 {
-			b.deposit(received)
-			bs.events.Inc("borrowed")
-			bs.log.Info().Str("account", b.account).Str("router", reply.Lender).Int64("tokens", received).Msg("tokens borrowed")
+	tokens := map[string]int64{}
+	kept := changes[:0]
+	for _, d := range changes {
+		if d.change.Return == 0 {
+			kept = append(kept, d)
+			continue
 		}
-		return want
-	})
-	b.endBorrow(done, all && complete && want == args.Want, tokens)
-}
-
-// beginBorrow returns the request to send, and the channel that endBorrow closes.
-// The channel is nil if a call is in progress, or if a recent call to all routers
-// yielded no tokens.
-func (b *localBalance) beginBorrow(tokens int64, incarnation string) (BorrowArgs, chan struct{}) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	recentlyEmpty := time.Since(b.emptyBorrowAt) <= shortageTTL && tokens-b.free >= b.emptyBorrowNeed
-	if b.borrowDone != nil || recentlyEmpty {
-		return BorrowArgs{}, nil
+		tokens[d.change.Account] = d.change.Return
 	}
-	b.borrowDone = make(chan struct{})
-	return BorrowArgs{
-		Borrower: incarnation,
-		Account:  b.account,
-		Want:     tokens - b.free + int64(b.ownUse.rate*borrowHorizon.Seconds()),
-		Free:     b.free,
-		Rate:     b.ownUse.rate,
-	}, b.borrowDone
-}
-
-// awaitBorrow waits for the calls in progress, if any.
-func (b *localBalance) awaitBorrow(ctx context.Context) {
-	b.mu.Lock()
-	running := b.borrowDone
-	b.mu.Unlock()
-	if running == nil {
-		return
+	if len(tokens) == 0 {
+		return kept
+	}
+	ctx, cancel := context.WithTimeout(ctx, giveBackTimeout)
+	defer cancel()
+	sent, err := bs.transfer(ctx, owners, false, tokens)
+	if !sent {
+		for account, n := range tokens {
+			bs.balance(account).deposit(n)
+		}
+		return kept
 	}
-	select {
-	case <-running:
-	case <-ctx.Done():
+	bs.events.Inc("gave_back")
+	if err != nil {
+		// The next transfer to the same incarnation makes up for this one.
+		bs.events.Inc("give_back_unknown")
+		bs.log.Info().Err(err).Int("accounts", len(tokens)).Msg("tokens were given back to an owner that did not answer")
 	}
+	return kept
 }
 
-func (b *localBalance) endBorrow(done chan struct{}, empty bool, tokens int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if empty {
-		b.emptyBorrowAt, b.emptyBorrowNeed = time.Now(), tokens-b.free
-	}
-	b.borrowDone = nil
-	close(done)
+// transfer sends tokens, which the local balances no longer hold, to another
+// router.
+func (bs *LocalBalances) transfer(ctx context.Context, first []string, others bool, tokens map[string]int64) (sent bool, err error) {
+	return bs.peers.Transfer(ctx, first, others, func(receiver string) TransferArgs {
+		totals := make(map[string]int64, len(tokens))
+		for account, n := range tokens {
+			totals[account] = bs.given.add(receiver, account, n)
+		}
+		return TransferArgs{Giver: bs.incarnation, Receiver: receiver, Totals: totals}
+	})
 }
--- a/internal/prepaid/owners.go
+++ b/internal/prepaid/owners.go
@@ -1,22 +1,20 @@
 package prepaid
 
 import (
-	"slices"
-
 	"github.com/camphorlever/camphorlever/internal/rendezvous"
 )
 
-// ownersPerAccount is how many routers draw an account's tokens from the ledger;
-// the others borrow from them. If all of many routers drew, the local balances of
-// a small account would be smaller than a request, and the appends of the
-// routers would conflict. A crash of one owner loses a quarter of the tokens that
-// routers hold.
-const ownersPerAccount = 4
+// ownersPerShard is how many routers draw the tokens of a shard's accounts from
+// the ledger; the others borrow from them. If all of many routers drew, the local
+// balances of a small account would be smaller than a request, and the appends of
+// the routers would conflict. A crash of one owner loses a quarter of the tokens
+// that routers hold.
+const ownersPerShard = 4
 
-// ownersOf returns the owners of an account among the routers, in the rendezvous
-// order of the account. A router that joins or leaves changes at most one owner.
-func ownersOf(account string, routers []string) []string {
-	return rendezvous.First([]byte(account), routers, ownersPerAccount, func(name string) string { return name })
+// ownersOf returns the owners of a shard among the routers, in the rendezvous
+// order of the shard. A router that joins or leaves changes at most one owner.
+func ownersOf(shard string, routers []string) []string {
+	return rendezvous.First([]byte(shard), routers, ownersPerShard, func(name string) string { return name })
 }
 
 // Fleet is the set of routers as one router knows it.
@@ -28,21 +26,23 @@
 }
 
 // owners returns an account's owners, and whether this router is one of them.
+// There are none until the layout was loaded.
 func (bs *LocalBalances) owners(b *localBalance) (owners []string, isOwner bool) {
-	fleet := bs.fleet()
+	s := bs.shardOf(b.account)
+	if s == nil {
+		return nil, false
+	}
+	owners, isOwner = s.ownersIn(bs.fleet())
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.owners == nil || b.ownersVersion != fleet.Version {
-		b.owners, b.ownersVersion = ownersOf(b.account, fleet.Routers), fleet.Version
-		b.isOwner = slices.Contains(b.owners, fleet.Self)
-	}
-	return b.owners, b.isOwner
+	b.isOwner = isOwner
+	return owners, isOwner
 }
 
 // fleet returns the known routers: only this one if it has no peers.
 func (bs *LocalBalances) fleet() Fleet {
 	if bs.peers == nil {
-		return Fleet{Self: bs.ledger.incarnation, Routers: []string{bs.ledger.incarnation}, Loaded: true}
+		return Fleet{Self: bs.incarnation, Routers: []string{bs.incarnation}, Version: 1, Loaded: true}
 	}
 	return bs.peers.Fleet()
 }
--- a/internal/prepaid/sizing.go
+++ b/internal/prepaid/sizing.go
@@ -20,8 +20,15 @@
 	// nonOwnerHorizon is how long the local balance of a router that is not an
 	// owner should last. It can borrow more from an owner within milliseconds.
 	nonOwnerHorizon = 1500 * time.Millisecond
+	// idleAfter is how long after its last request a router that is not an owner
+	// keeps tokens for another request of the account.
+	idleAfter = 4 * time.Second
+	// scarceShare is the part of the prepaid tokens below which an account counts
+	// as scarce. Then tokens that are spread over many routers would be missing
+	// at the owners.
+	scarceShare = 0.1
 	// fragmentShare limits how far local balances may exceed highWatermark before
-	// tokens are returned: all routers together by at most this part of the
+	// tokens are returned: all owners together by at most this part of the
 	// remaining tokens. Tokens spread over many routers in this way may be too few
 	// at each for a request.
 	fragmentShare = 0.2
@@ -63,18 +70,22 @@
 	localBalance   int64   // tokens that this router holds and has not reserved
 	rate           float64 // tokens per second used by this router, including loans
 	recentMaxBound int64   // bound of a large recent request
+	idle           bool    // no recent request on this router
+	scarce         bool    // the account is nearly used up
 
 	isOwner          bool    // this router is an owner of the account
 	ownerCount       int     // number of owners
 	otherOwnersRate  float64 // tokens per second used by the other owners with a known rate
 	otherOwnersKnown int     // number of other owners with a known rate
-	routerCount      int     // number of routers that may hold tokens of the account
 }
 
 // target returns the local balance that the router should have, in tokens.
 func (s accountState) target() int64 {
 	remaining := float64(max(s.ledgerFree+s.localBalance, 0))
 	if !s.isOwner {
+		if s.scarce {
+			return 0
+		}
 		return int64(s.rate * nonOwnerHorizon.Seconds())
 	}
 	wanted := s.rate * outageHorizon.Seconds()
@@ -104,11 +115,22 @@
 	return target - s.localBalance, float64(s.localBalance) < lowWatermark*float64(target)
 }
 
-// excess returns how many tokens to return to the ledger.
+// excess returns how many tokens to return to the ledger or, if the router is not
+// an owner, to an owner.
 func (s accountState) excess() int64 {
 	target := s.target()
+	if !s.isOwner {
+		keep := target
+		if !s.idle && !s.scarce {
+			keep += s.recentMaxBound
+		}
+		if float64(s.localBalance) <= highWatermark*float64(keep) {
+			return 0
+		}
+		return s.localBalance - target
+	}
 	remaining := float64(max(s.ledgerFree+s.localBalance, 0))
-	slack := min(float64(s.recentMaxBound), fragmentShare/float64(max(s.routerCount, 1))*remaining)
+	slack := min(float64(s.recentMaxBound), fragmentShare/float64(max(s.ownerCount, 1))*remaining)
 	if float64(s.localBalance) <= highWatermark*float64(target)+slack {
 		return 0
 	}
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -30,7 +30,10 @@
 type Options struct {
 	Address  string // host:port of the peer's internal listener
 	FleetKey string
-	Service  string // net/rpc service of the peer that has the method wire.MethodPing
+	// Service is the net/rpc service of the peer that has the method
+	// wire.MethodPing. If it is empty, no heartbeats are sent, and a silent
+	// connection is noticed by the first call that misses its deadline.
+	Service string
 	// Offsets returns the offsets to send with each heartbeat; may be nil.
 	Offsets func() wire.Offsets
 	// OnHeartbeat is called with the reply to each heartbeat; may be nil.
@@ -239,11 +242,15 @@
 	conn.close()
 }
 
-// sendHeartbeats pings the peer until the connection is closed. The connection is
-// dropped if a ping gets no reply within heartbeatWindow, or if no call was made for
-// idleTimeout.
+// sendHeartbeats pings the peer, if it has a service for that, until the connection
+// is closed. The connection is dropped if a ping gets no reply within
+// heartbeatWindow, or if no call was made for idleTimeout.
 func (c *Client) sendHeartbeats(conn *connection) {
-	ticker := time.NewTicker(wire.HeartbeatInterval)
+	period := wire.HeartbeatInterval
+	if c.options.Service == "" {
+		period = idleTimeout
+	}
+	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
 		select {
@@ -255,7 +262,7 @@
 			c.drop(conn)
 			return
 		}
-		if !c.ping(conn) {
+		if c.options.Service != "" && !c.ping(conn) {
 			clientCounters.Inc("heartbeat_missed")
 			c.drop(conn)
 			return
