--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -13,7 +13,7 @@
 const (
 	initialBuffer = 2 << 10
 	// MaxEventBytes is the maximum size of one event.
-	MaxEventBytes = 1 << 20
+	MaxEventBytes = 256 << 10
 )
 
 // maxTerminator is the length in bytes of the longest event terminator.
@@ -137,6 +137,28 @@
 	}
 }
 
+// IsComment reports whether an event consists only of comments and empty lines.
+func IsComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
+// CountEvents returns the number of events in b that are not only comments.
+func CountEvents(b []byte) int {
+	n := 0
+	Split(b, func(event []byte) bool {
+		if !IsComment(event) {
+			n++
+		}
+		return true
+	})
+	return n
+}
+
 // ID returns the id of an event, or an empty string if it has none.
 func ID(event []byte) string {
 	for line := range bytes.Lines(event) {
--- a/internal/filter/forward/attempt.go
+++ b/internal/filter/forward/attempt.go
@@ -115,8 +115,8 @@
 // notExecuted handles a response which says that the server did not execute
 // the request. It drains the body so that the connection can be reused.
 func (run *passthrough) notExecuted(e *upstream.Exchange) result {
-	_, err := io.Copy(io.Discard, io.LimitReader(e, maxBufferedBytes))
-	e.Close(err == nil)
+	n, err := io.Copy(io.Discard, io.LimitReader(e, maxBufferedBytes+1))
+	e.Close(err == nil && n <= maxBufferedBytes)
 	cause := errors.Errorf("server refused with status %d", e.Status)
 	if e.Info.WrongServer {
 		cause = errServerReplaced
--- a/internal/filter/forward/stream.go
+++ b/internal/filter/forward/stream.go
@@ -13,7 +13,10 @@
 	"github.com/camphorlever/camphorlever/internal/upstream"
 )
 
-var errOutOfOrder = errors.New("events are out of order")
+var (
+	errOutOfOrder    = errors.New("events are out of order")
+	errTooManyEvents = errors.New("stream has more events than the request allows tokens")
+)
 
 // forwardStream forwards the events of a stream to the caller as they arrive. It
 // calls onFirstEvent when the first of them arrives.
@@ -23,7 +26,7 @@
 		return run.unusableResponse(ctx, errNotFromServer)
 	}
 	scanner := eventstream.NewScanner(e)
-	for first := true; ; first = false {
+	for first := true; ; {
 		events, err := scanner.Next()
 		if errors.Is(err, io.EOF) {
 			e.Close(true)
@@ -33,10 +36,14 @@
 			e.Close(false)
 			return run.unusableResponse(ctx, err)
 		}
-		if first {
-			onFirstEvent()
+		// Comments keep no stream alive: a stalled server may go on sending them.
+		if eventstream.CountEvents(events) > 0 {
+			if first {
+				onFirstEvent()
+				first = false
+			}
+			silenceTimer.reset(streamSilenceTimeout(run.passthrough.Route))
 		}
-		silenceTimer.reset(streamSilenceTimeout(run.passthrough.Route))
 		unsentEvents, err := run.unsentEvents(events)
 		if err != nil {
 			e.Close(false)
@@ -52,11 +59,14 @@
 	}
 }
 
-// unsentEvents checks the order of events and drops leading ones that were already
-// sent to the caller, as happens when a stream is resumed.
+// unsentEvents checks the order and the number of events and drops leading ones that
+// were already sent to the caller, as happens when a stream is resumed.
 func (run *passthrough) unsentEvents(events []byte) ([]byte, error) {
 	skip, anyUnsent, outOfOrder := 0, false, false
 	eventstream.Split(events, func(event []byte) bool {
+		if eventstream.IsComment(event) {
+			return true
+		}
 		id := eventstream.ID(event)
 		switch position := compareEventIDs(run.lastEventID, id); {
 		case position == alreadySent && !anyUnsent:
@@ -73,12 +83,19 @@
 		run.passthrough.EventsDelivered++
 		return true
 	})
-	if outOfOrder {
+	switch limit := run.passthrough.Call.MaxOutput; {
+	case outOfOrder:
 		return nil, errOutOfOrder
+	case limit > 0 && run.passthrough.EventsDelivered > limit+finalEvents:
+		return nil, errTooManyEvents
 	}
 	return events[skip:], nil
 }
 
+// finalEvents is how many events of a stream may have no token, such as one that
+// marks its end.
+const finalEvents = 1
+
 // eventPosition is the position of an event relative to the last one sent.
 type eventPosition uint8
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -24,12 +24,21 @@
 	// maxMismatched limits how many responses to other requests are skipped on
 	// a connection.
 	maxMismatched = 3
+	// maxHeadBytes limits the head of a response, including the interim responses
+	// before it. A faulty server may send bytes without end.
+	maxHeadBytes = 64 << 10
+	// maxDiscardedBytes limits the body of a response that is skipped.
+	maxDiscardedBytes = 256 << 10
 )
 
+// errHeadTooLong means that a response's head exceeds maxHeadBytes.
+var errHeadTooLong = errors.New("head of the response is too long")
+
 // conn is a connection to one incarnation of a server. It carries one request
 // at a time.
 type conn struct {
 	netConn     net.Conn
+	limit       *limitedReader // below reader
 	reader      *bufio.Reader
 	writer      *bufio.Writer
 	server      membership.Server
@@ -40,9 +49,11 @@
 }
 
 func newConn(c net.Conn, server membership.Server) *conn {
+	limit := &limitedReader{source: c}
 	return &conn{
 		netConn: c,
-		reader:  bufio.NewReaderSize(c, readBufferSize),
+		limit:   limit,
+		reader:  bufio.NewReaderSize(limit, readBufferSize),
 		writer:  bufio.NewWriterSize(c, writeBufferSize),
 		server:  server,
 	}
@@ -89,8 +100,10 @@
 }
 
 // readResponse reads the header of the next response. It skips interim (1xx)
-// responses except 101.
+// responses except 101. All of these together may have maxHeadBytes.
 func (c *conn) readResponse(method string) (*http.Response, error) {
+	c.limit.setLimit(maxHeadBytes, errHeadTooLong)
+	defer c.limit.clearLimit()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
@@ -108,6 +121,6 @@
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return false // the body ends only when the connection closes
 	}
-	_, err := io.Copy(io.Discard, response.Body)
-	return err == nil
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardedBytes+1))
+	return err == nil && n <= maxDiscardedBytes
 }
