Pause between checks of recent loans; divide the fixed retries by the size of the fleet

Cause: a request that waited for tokens took the result of calls that had ended a moment ago and asked again at once, without a pause, for as long as that result held (250 ms): a router used its processor for nothing while it was short of tokens. And each router took an eighth of the retries that the fleet may make regardless of its requests, so that 103 routers without requests could make thirteen times as many as allowed. Change: 3 ms between two checks; the fixed part is divided by the number of known routers, at least 8.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -53,11 +53,10 @@
 	announceDelay = time.Second
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 64 << 10
-	// assumedRouters is the number of routers among which the fleet's
-	// MinRetries is divided. It is fixed, because the routers do not coordinate
-	// their retry budgets: the entry VMs of a small deployment, and as many
-	// again in reserve.
-	assumedRouters = 8
+	// minRouters is the least number of routers among which the fleet's
+	// MinRetries is divided: the entry VMs of a small deployment, and as many
+	// again in reserve, which may be added before they are known.
+	minRouters = 8
 	// retryBudgetMargin is the part of the shared retry budget that is used.
 	// The rest allows for the error of counting windows in steps.
 	retryBudgetMargin = 0.8
@@ -183,7 +182,7 @@
 			Servers: r.servers,
 			Placer:  r.placer,
 			Pool:    r.pool,
-			Retries: routerRetryLimits(o.RetryLimits),
+			Retries: func() retry.Limits { return routerRetryLimits(o.RetryLimits, len(r.peerSet.Fleet().Routers)) },
 			Log:     logger,
 		}),
 	)
@@ -202,9 +201,9 @@
 // routerRetryLimits returns this router's part of the fleet's retry limits.
 // Each router counts only the requests that it received, so the ratio needs no
 // splitting.
-func routerRetryLimits(fleet retry.Limits) retry.Limits {
+func routerRetryLimits(fleet retry.Limits, routers int) retry.Limits {
 	fleet.Ratio *= retryBudgetMargin
-	fleet.MinRetries = int64(retryBudgetMargin * float64(fleet.MinRetries) / assumedRouters)
+	fleet.MinRetries = int64(retryBudgetMargin * float64(fleet.MinRetries) / float64(max(routers, minRouters)))
 	return fleet
 }
 
--- a/internal/filter/forward/setup.go
+++ b/internal/filter/forward/setup.go
@@ -40,7 +40,9 @@
 	Servers Servers
 	Placer  *affinity.Placer
 	Pool    *upstream.Pool
-	Retries retry.Limits // this router's share of the retry budget, per service
+	// Retries returns this router's share of the retry budget of each service,
+	// which changes with the number of routers.
+	Retries func() retry.Limits
 	Log     zerolog.Logger
 }
 
@@ -58,14 +60,17 @@
 	return &handler{Deps: d, counters: filter.Counters("forward"), budgets: map[string]*retry.Budget{}}
 }
 
-// retryBudget returns the retry budget of a service and creates it on first use.
+// retryBudget returns the retry budget of a service, with the current limits, and
+// creates it on first use.
 func (h *handler) retryBudget(service string) *retry.Budget {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	limits := h.Retries()
 	b := h.budgets[service]
 	if b == nil {
-		b = retry.NewBudgetWithLimits(h.Retries, time.Now)
+		b = retry.NewBudgetWithLimits(limits, time.Now)
 		h.budgets[service] = b
 	}
+	b.SetMinRetries(limits.MinRetries)
 	return b
 }
--- a/internal/prepaid/balances_test.go
+++ b/internal/prepaid/balances_test.go
@@ -370,3 +370,30 @@
 		time.Sleep(time.Second) // lets the calls in progress end
 	})
 }
+
+// TestRecentResultsOfCallsDoNotSpin: calls to all routers yielded nothing a moment ago,
+// and the last calls to the owners say nothing or brought tokens that other requests
+// have used. A request that waits must not repeat the same check without a pause, which
+// would use the processor for as long as the results hold; this test would then hang.
+func TestRecentResultsOfCallsDoNotSpin(t *testing.T) {
+	for name, last := range map[string]borrowResult{"abandoned": {open: true}, "tokens used by others": {tokens: 100, owners: 1}, "owner had none": {owners: 1}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newCluster(100_000)
+				f.start(t, 8)
+				time.Sleep(2 * time.Second)
+				owners := f.owners("maps")
+				router := f.routers[slices.IndexFunc(f.routers, func(r *LocalBalances) bool { return !slices.Contains(owners, r.fleet().Self) })]
+				b := router.balance("maps")
+				b.mu.Lock()
+				b.emptyBorrowAt, b.lastBorrow = time.Now(), last
+				b.mu.Unlock()
+				begun := time.Now()
+				_, _ = router.Reserve(t.Context(), "maps", 1000)
+				require.LessOrEqual(t, time.Since(begun), drawTimeout+borrowRetryPause)
+				f.stopAll()
+				time.Sleep(time.Second) // lets the calls in progress end
+			})
+		})
+	}
+}
--- a/internal/prepaid/borrow.go
+++ b/internal/prepaid/borrow.go
@@ -86,7 +86,7 @@
 		case result.forSmall:
 			return ReservedForSmall, true
 		case result.tokens > 0 || result.open:
-			continue // other requests have used the tokens, or no call was made
+			// Other requests have used the tokens, or no call was made.
 		case result.owners == 0:
 			return 0, false
 		case result.logAway:
@@ -94,9 +94,14 @@
 		case result.short:
 			return bs.borrowFromAll(ctx, b, tokens, false), true
 		}
+		// The result may be that of earlier calls, so the loop must not spin.
+		sleepOrWake(ctx, borrowRetryPause, nil)
 	}
 }
 
+// borrowRetryPause is the pause before the owners are asked again.
+const borrowRetryPause = 3 * time.Millisecond
+
 // borrowFromOwners borrows from the owners of an account. Owners that crashed
 // recently do not answer, so the timeout leaves time for a draw.
 func (bs *LocalBalances) borrowFromOwners(ctx context.Context, b *localBalance, tokens int64) borrowResult {
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -35,7 +35,7 @@
 
 // Budget limits the retries of a router. It is safe for concurrent use.
 type Budget struct {
-	mu       sync.Mutex // guards the ring buffers; their sums cover exactly the window that ends at slot
+	mu       sync.Mutex // guards all below; the sums of the ring buffers cover exactly the window that ends at slot
 	requests [slotCount]int64
 	retries  [slotCount]int64
 	slot     int64 // index of the newest slot, counted from the Unix epoch
@@ -66,6 +66,14 @@
 	b.requests[b.slot%slotCount]++
 }
 
+// SetMinRetries changes the number of retries allowed regardless of the number of
+// requests.
+func (b *Budget) SetMinRetries(n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits.MinRetries = n
+}
+
 // Allow consumes one retry from the budget. It returns false if the budget is
 // exhausted.
 func (b *Budget) Allow() bool {
