prepaid: a small request is not refused for a large one; owners lend their reserve in outages

Cause: requests of an account that wait share the result of calls to the owners. And in an outage an owner split its reserve with the callers of its own, as between two owners, so that it lent an eighth of what it held to a request that needed less than all of it, although the reserve is held for all. Change: such a result holds for requests of at least that size; an owner lends what a waiting request on a router that is no owner needs. Names of some states in plain terms. Test: TestOwnerLendsItsReserveInAnOutage fails before.

--- a/internal/peers/snapshots.go
+++ b/internal/peers/snapshots.go
@@ -79,7 +79,7 @@
 			}
 		}
 	}
-	c.events.Inc("snapshot_awaited_in_vain")
+	c.events.Inc("snapshot_timeout")
 	return watch.Snapshot{}, false
 }
 
--- a/internal/prepaid/balances_test.go
+++ b/internal/prepaid/balances_test.go
@@ -397,3 +397,35 @@
 		})
 	}
 }
+
+// TestOwnerLendsItsReserveInAnOutage: an owner has callers of its own, and the log is
+// down. A request on another router gets tokens as long as the owner has enough: it is
+// worth as much as one on the owner.
+func TestOwnerLendsItsReserveInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCluster(10_000_000)
+		f.start(t, 8)
+		time.Sleep(3 * time.Second)
+		owner := f.routers[slices.IndexFunc(f.routers, func(r *LocalBalances) bool { return r.fleet().Self == f.owners("maps")[0] })]
+		for range 40 {
+			reservation, outcome := owner.Reserve(t.Context(), "maps", 8000)
+			require.Equal(t, Granted, outcome)
+			reservation.Settle(8000)
+			time.Sleep(100 * time.Millisecond)
+		}
+		f.log.setDown(true)
+		f.partitioned = true
+		_, outcome := owner.Reserve(t.Context(), "maps", 10*f.prepaid)
+		require.Equal(t, Unreachable, outcome)
+		held := owner.View("maps").LocalBalance
+		lent := int64(0)
+		for i := range held / 8000 {
+			reply := owner.Lend(BorrowArgs{Borrower: "other/1", Account: "maps", Want: 8000, Need: 8000, Bound: 8000})
+			require.Equal(t, (i+1)*8000, reply.Total, "of %d that the owner holds", held)
+			lent = reply.Total
+		}
+		require.Positive(t, lent)
+		f.stopAll()
+		time.Sleep(time.Second) // lets the calls in progress end
+	})
+}
--- a/internal/prepaid/borrow.go
+++ b/internal/prepaid/borrow.go
@@ -13,20 +13,21 @@
 
 // borrowResult is the result of calls to other routers.
 type borrowResult struct {
-	tokens   int64 // received
-	owners   int   // owners that answered
-	short    bool  // an owner knows that the ledger has no more tokens
-	logAway  bool  // an owner can't reach the log
-	forSmall bool  // the remaining tokens are reserved for smaller requests
-	complete bool  // all routers that were to be asked have answered
-	open     bool  // the calls were not made or were abandoned, so the result says nothing
-	need     int64 // tokens that were missing
-	endedAt  time.Time
+	tokens           int64 // received
+	owners           int   // owners that answered
+	short            bool  // an owner knows that the ledger has no more tokens
+	logUnavailable   bool  // an owner can't reach the log
+	reservedForSmall bool  // the remaining tokens are reserved for smaller requests
+	complete         bool  // all routers that were to be asked have answered
+	open             bool  // the calls were not made or were abandoned, so the result says nothing
+	need             int64 // tokens that were missing
+	bound            int64 // bound of the request that made the calls
+	endedAt          time.Time
 }
 
 // final reports whether the same calls would soon give the same result: nothing.
 func (r borrowResult) final() bool {
-	return r.tokens == 0 && (r.short || r.forSmall)
+	return r.tokens == 0 && (r.short || r.reservedForSmall)
 }
 
 // borrow borrows tokens from the account's owners, and from some other routers if
@@ -41,7 +42,7 @@
 	if done == nil {
 		return b.awaitBorrow(ctx)
 	}
-	result := borrowResult{need: tokens - args.Free, open: args.Want <= 0}
+	result := borrowResult{need: tokens - args.Free, bound: tokens, open: args.Want <= 0}
 	want := args.Want
 	result.complete = bs.peers.Borrow(ctx, args, owners, others, func(reply BorrowReply) int64 {
 		received := bs.received.raiseTo(reply.Lender, b.account, reply.Total)
@@ -68,8 +69,8 @@
 		r.owners++
 	}
 	r.short = r.short || reply.State == LoanShort
-	r.logAway = r.logAway || reply.State == LoanLogAway
-	r.forSmall = r.forSmall || reply.State == LoanKeptForSmall
+	r.logUnavailable = r.logUnavailable || reply.State == LoanLogUnavailable
+	r.reservedForSmall = r.reservedForSmall || reply.State == LoanReservedForSmall
 }
 
 // reserveFromOwners reserves tokens for a request by loans from the owners. It
@@ -83,13 +84,14 @@
 			return Granted, true
 		case ctx.Err() != nil:
 			return Unreachable, true
-		case result.forSmall:
+		case result.reservedForSmall && tokens >= result.bound:
 			return ReservedForSmall, true
-		case result.tokens > 0 || result.open:
-			// Other requests have used the tokens, or no call was made.
+		case result.tokens > 0 || result.open || result.reservedForSmall:
+			// Other requests have used the tokens, no call was made, or only a
+			// larger request was refused.
 		case result.owners == 0:
 			return 0, false
-		case result.logAway:
+		case result.logUnavailable:
 			return bs.borrowFromAll(ctx, b, tokens, true), true
 		case result.short:
 			return bs.borrowFromAll(ctx, b, tokens, false), true
@@ -146,6 +148,7 @@
 		Bound:    tokens,
 		Free:     b.free,
 		Rate:     b.ownUse.rate,
+		Owner:    b.isOwner,
 	}, b.borrowDone
 }
 
--- a/internal/prepaid/lend.go
+++ b/internal/prepaid/lend.go
@@ -27,6 +27,7 @@
 	Bound    int64   // bound of one of these requests
 	Free     int64   // tokens that the borrower has available
 	Rate     float64 // tokens per second that the borrower uses
+	Owner    bool    // the borrower is an owner of the account
 }
 
 // LoanState is why a lender did not lend more.
@@ -34,11 +35,11 @@
 
 // States of a loan.
 const (
-	LoanOpen         LoanState = iota // the lender may have more later
-	LoanShort                         // the ledger has no more tokens, by a recent read
-	LoanLogAway                       // the lender can't reach the log
-	LoanKeptForSmall                  // the remaining tokens are reserved for smaller requests
-	LoanNotOwner                      // the lender is not an owner of the account, or is still loading
+	LoanOpen             LoanState = iota // the lender may have more later
+	LoanShort                             // the ledger has no more tokens, by a recent read
+	LoanLogUnavailable                    // the lender can't reach the log
+	LoanReservedForSmall                  // the remaining tokens are reserved for smaller requests
+	LoanNotOwner                          // the lender is not an owner of the account, or is still loading
 )
 
 // BorrowReply is the reply to a request for a loan.
@@ -105,18 +106,21 @@
 	}
 }
 
-// lendFree lends tokens that this router has. While the log is unavailable, it
-// splits them such that both routers' balances last equally long. Otherwise an
-// owner refuses large loans to reserve the last tokens for small requests, as it
-// does for its own callers.
+// lendFree lends tokens that this router has. While the log is unavailable, owners
+// split them such that their balances last equally long, and an owner's tokens go to
+// waiting requests on any router in the order in which they ask. Otherwise an owner
+// refuses large loans to reserve the last tokens for small requests, as it does for
+// its own callers.
 func (bs *LocalBalances) lendFree(b *localBalance, args BorrowArgs) (int64, LoanState) {
 	away := bs.logUnavailable(b.account)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	state, amount := LoanOpen, float64(b.free)*lendShare
+	state, amount, want := LoanOpen, float64(b.free)*lendShare, args.Want
 	switch {
+	case away && b.isOwner && !args.Owner:
+		state, amount, want = LoanLogUnavailable, float64(b.free), min(args.Need, args.Want)
 	case away:
-		state = LoanLogAway
+		state = LoanLogUnavailable
 		// The rate of a borrower that has not used the account yet is estimated
 		// from the tokens that it wants.
 		otherRate := max(args.Rate, float64(args.Want)/outageHorizon.Seconds())
@@ -126,9 +130,9 @@
 		}
 		amount = float64(b.free) - keepShare*float64(b.free+args.Free)
 	case b.isOwner && isReservedForSmall(b.ledgerFree+b.free, b.prepaid, args.Bound, b.meanBound):
-		return 0, LoanKeptForSmall
+		return 0, LoanReservedForSmall
 	}
-	lent := max(min(int64(amount), args.Want), 0)
+	lent := max(min(int64(amount), want), 0)
 	b.free -= lent
 	b.lentUse.add(lent)
 	return lent, state
@@ -142,7 +146,7 @@
 	for {
 		missing := args.Need - lent - more
 		if bs.logUnavailable(b.account) {
-			return more, LoanLogAway
+			return more, LoanLogUnavailable
 		}
 		if b.shortageKnown(missing, time.Now()) {
 			return more, LoanShort
@@ -173,7 +177,7 @@
 		return errOtherIncarnation
 	}
 	for account, total := range args.Totals {
-		if gained := bs.received.raiseTo(args.Giver+"/stop", account, total); gained > 0 {
+		if gained := bs.received.raiseTo(args.Giver+"/transfer", account, total); gained > 0 {
 			bs.balance(account).deposit(gained)
 			bs.events.Inc("received")
 			bs.log.Debug().Str("account", account).Str("router", args.Giver).Int64("tokens", gained).
