--- a/internal/prepaid/balances_test.go
+++ b/internal/prepaid/balances_test.go
@@ -429,3 +429,29 @@
 		time.Sleep(time.Second) // lets the calls in progress end
 	})
 }
+
+// TestSmallRequestIsNotRefusedForALargeOne: the owners have just refused a large request
+// on this router, to keep their last tokens for smaller ones. A small request that
+// arrives while that result holds is one of these.
+func TestSmallRequestIsNotRefusedForALargeOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCluster(100_000)
+		f.start(t, 8)
+		time.Sleep(2 * time.Second)
+		owners := f.owners("maps")
+		router := f.routers[slices.IndexFunc(f.routers, func(r *LocalBalances) bool { return !slices.Contains(owners, r.fleet().Self) })]
+		b := router.balance("maps")
+		b.mu.Lock()
+		b.borrowDone = make(chan struct{}) // calls for the large request are in progress
+		done := b.borrowDone
+		b.mu.Unlock()
+		time.AfterFunc(10*time.Millisecond, func() {
+			b.endBorrow(done, borrowResult{reservedForSmall: true, owners: 4, complete: true, need: 14_000, bound: 14_000}, false)
+		})
+		reservation, outcome := router.Reserve(t.Context(), "maps", 400)
+		require.Equal(t, Granted, outcome)
+		reservation.Settle(400)
+		f.stopAll()
+		time.Sleep(time.Second) // lets the calls in progress end
+	})
+}
