Panics in background tasks and in calls of other routers are contained

Cause: a panic in a method that another router calls ended the process, since net/rpc does not recover it (seen: the test process ends with 'panic: unexpected account'); one in a background task, such as the one that follows the settings, ended that task for good while the router served on. Change: tasks are started again after a panic, with a log line and a counter; methods return the panic as an error. Requests were contained before (filter recovery).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,6 +30,7 @@
 	"github.com/camphorlever/camphorlever/internal/pressure"
 	"github.com/camphorlever/camphorlever/internal/retry"
 	"github.com/camphorlever/camphorlever/internal/rpc"
+	"github.com/camphorlever/camphorlever/internal/supervise"
 	"github.com/camphorlever/camphorlever/internal/upstream"
 	"github.com/camphorlever/camphorlever/internal/watch"
 	"github.com/camphorlever/camphorlever/internal/wire"
@@ -246,13 +247,17 @@
 			return err
 		}
 	}
-	r.background.Go(func() { r.settings.watcher.Run(ctx) })
-	r.background.Go(func() { r.serverWatcher.Run(ctx) })
-	r.background.Go(func() { r.cleanUp(ctx) })
-	r.background.Go(func() { r.samplePressure(ctx) })
-	r.background.Go(func() { r.announcePressure(ctx) })
-	r.background.Go(func() { r.announce(ctx) })
-	r.background.Go(func() { r.peerWatcher.Run(ctx) })
+	for name, task := range map[string]func(context.Context){
+		"follow settings":   r.settings.watcher.Run,
+		"follow servers":    r.serverWatcher.Run,
+		"follow routers":    r.peerWatcher.Run,
+		"clean up":          r.cleanUp,
+		"sample pressure":   r.samplePressure,
+		"announce pressure": r.announcePressure,
+		"announce":          r.announce,
+	} {
+		r.background.Go(func() { supervise.Run(ctx, r.log, name, task) })
+	}
 	r.budgetTasks.Go(func() { r.balances.Run(budgetCtx) })
 	r.log.Info().Str("node", r.options.Node).Str("data_centre", r.options.DataCentre).Msg("router started")
 	return nil
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -148,6 +148,28 @@
 	require.EqualValues(t, maxOthers+1, empty.calls.Load())
 }
 
+// panickingLender panics in each call.
+type panickingLender struct{}
+
+func (panickingLender) Lend(prepaid.BorrowArgs) prepaid.BorrowReply { panic("unexpected account") }
+
+func (panickingLender) Receive(prepaid.TransferArgs) error { panic("unexpected account") }
+
+// TestPanicInACallDoesNotEndTheProcess: the caller gets an error, and the connection can
+// be used on.
+func TestPanicInACallDoesNotEndTheProcess(t *testing.T) {
+	c := NewClient(peerSetOf(t, Member{Node: "a", Address: serveLenderOf(t, panickingLender{}), Incarnation: "g"}), "key")
+	complete := c.Borrow(context.Background(), prepaid.BorrowArgs{Account: "maps", Want: 10}, []string{"a"}, false, func(prepaid.BorrowReply) int64 {
+		t.Error("a reply was received")
+		return 0
+	})
+	require.False(t, complete)
+	time.Sleep(avoidPeriod + 20*time.Millisecond)
+	sent, err := c.Transfer(context.Background(), []string{"a"}, false, func(string) prepaid.TransferArgs { return prepaid.TransferArgs{} })
+	require.True(t, sent)
+	require.ErrorContains(t, err, "unexpected account")
+}
+
 // countingLender lends nothing.
 type countingLender struct{ calls atomic.Int64 }
 
--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -1,6 +1,9 @@
 package peers
 
 import (
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc/panics"
+
 	"github.com/camphorlever/camphorlever/internal/prepaid"
 	"github.com/camphorlever/camphorlever/internal/wire"
 )
@@ -26,14 +29,25 @@
 // this router's local balance before the reply is sent. If that is lost, the
 // total in the next reply makes up for it.
 func (m *Methods) Lend(args *prepaid.BorrowArgs, reply *prepaid.BorrowReply) error {
-	*reply = m.lender.Lend(*args)
-	return nil
+	return contained(func() error {
+		*reply = m.lender.Lend(*args)
+		return nil
+	})
 }
 
 // Receive accepts tokens that another router does not need. It fails if they were
 // sent to another incarnation of this router.
 func (m *Methods) Receive(args *prepaid.TransferArgs, _ *struct{}) error {
-	return m.lender.Receive(*args)
+	return contained(func() error { return m.lender.Receive(*args) })
+}
+
+// contained runs a method and returns a panic in it as an error: net/rpc would let it
+// end the process.
+func contained(method func() error) (err error) {
+	if recovered := panics.Try(func() { err = method() }); recovered != nil {
+		return errors.Wrap(recovered.AsError(), "method panicked")
+	}
+	return err
 }
 
 // Ping answers the heartbeat of a connection.
--- a/internal/peers/snapshots.go
+++ b/internal/peers/snapshots.go
@@ -147,7 +147,12 @@
 }
 
 // Snapshot returns this router's snapshot of a stream.
-func (m *Methods) Snapshot(args *SnapshotArgs, reply *SnapshotReply) (err error) {
+func (m *Methods) Snapshot(args *SnapshotArgs, reply *SnapshotReply) error {
+	return contained(func() error { return m.awaitSnapshot(args, reply) })
+}
+
+// awaitSnapshot waits for a snapshot up to snapshotHold if the caller allows that.
+func (m *Methods) awaitSnapshot(args *SnapshotArgs, reply *SnapshotReply) (err error) {
 	for end := time.Now().Add(snapshotHold); ; time.Sleep(snapshotHoldPeriod) {
 		reply.Snapshot, reply.Found, err = m.snapshots(logservice.Stream(args.Stream))
 		if err != nil || reply.Found || !args.Hold || time.Now().After(end) {
--- a/internal/prepaid/controller.go
+++ b/internal/prepaid/controller.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/camphorlever/camphorlever/internal/catalog"
+	"github.com/camphorlever/camphorlever/internal/supervise"
 )
 
 // Timing of the rebalancing loop.
@@ -29,14 +30,17 @@
 // Run loads the ledger, then draws tokens before local balances run low and
 // returns tokens that are not needed, until ctx ends.
 func (bs *LocalBalances) Run(ctx context.Context) {
-	shards := bs.loadShards(ctx)
+	var shards []*shard
+	supervise.Run(ctx, bs.log, "load ledger", func(ctx context.Context) { shards = bs.loadShards(ctx) })
 	if ctx.Err() != nil {
 		return
 	}
 	close(bs.loaded)
 	var loops conc.WaitGroup
 	for i := range shards {
-		loops.Go(func() { bs.runShard(ctx, shards, i) })
+		loops.Go(func() {
+			supervise.Run(ctx, bs.log, "rebalance shard "+shards[i].name, func(ctx context.Context) { bs.runShard(ctx, shards, i) })
+		})
 	}
 	loops.Wait()
 }
