Log the request, its prompt parts and its events with each failed attempt

Cause: a failed attempt named the server and the cause only, so the logs of the incident could not show what the requests at each crash had in common. Change: the line has request, prompt_parts (at most 8, shortened) and events.

--- a/internal/filter/forward/handler.go
+++ b/internal/filter/forward/handler.go
@@ -262,6 +262,7 @@
 	case ctx.Err() == nil && !errors.Is(result.cause, errCallerDisconnected):
 		avoidFor = placed.MarkFailed()
 		run.handler.Log.Info().Str("server", placed.Server.ID).Str("address", placed.Server.Address).
+			Str("request", p.Call.Attempt).Strs("prompt_parts", loggedParts(p.Call.Parts)).Int64("events", p.EventsDelivered).
 			Dur("avoided", avoidFor).AnErr("cause", result.cause).Msg("backend server is avoided after a failed attempt")
 	}
 	sends, events := p.Sends, p.EventsDelivered
@@ -271,6 +272,22 @@
 	})
 }
 
+// Limits on the prompt parts in a log line, since callers choose their number and
+// the length of their IDs.
+const (
+	maxLoggedParts  = 8
+	maxLoggedPartID = 32 // bytes
+)
+
+// loggedParts returns the IDs of the first prompt parts, shortened.
+func loggedParts(parts []filter.PromptPart) []string {
+	ids := make([]string, 0, min(len(parts), maxLoggedParts))
+	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
+		ids = append(ids, part.ID[:min(len(part.ID), maxLoggedPartID)])
+	}
+	return ids
+}
+
 var errCallerDisconnected = errors.New("caller disconnected")
 
 // isStream reports whether the route's responses are event streams.
