Withhold requests whose prompt has a part that crashes servers

Callers saw answers cut and 502, and most of the servers of a model service down for seconds at a time, as one after the other crashed. Cause: a router learned from a crash that the server was to be avoided, and nothing about the requests; the next one with the same part went to the next server. Each router sees few of the crashes. Class of fault: a failure that the request causes is taken for one of the server. Change: package quarantine. A crash that is confirmed (port closed, or the list of servers) counts against the parts of the requests that had fewer than two events there. Two successive ones (the second request was sent after the first crash was known) put a part into quarantine; an answer to a later request with it clears it, at all routers. Evidence travels between routers by gossip, quarantined parts are entries of a keyed stream, read before a router is ready. A part that was always beside another one is tried alone, one request at a time. A withheld request gets 503 at once with a Retry-After; requests in flight with the part are cancelled.

--- a/cmd/camphor-entry/main.go
+++ b/cmd/camphor-entry/main.go
@@ -139,11 +139,12 @@
 		},
 		LogWritesPerSecond: local.LogWritesPerSecond,
 
-		StreamSettings: platform.StreamOperator,
-		StreamServers:  platform.StreamServers,
-		StreamBudgets:  platform.StreamBudgets,
-		StreamLayout:   platform.StreamLayout,
-		StreamRouters:  platform.StreamRouters,
+		StreamSettings:   platform.StreamOperator,
+		StreamServers:    platform.StreamServers,
+		StreamBudgets:    platform.StreamBudgets,
+		StreamLayout:     platform.StreamLayout,
+		StreamRouters:    platform.StreamRouters,
+		StreamQuarantine: platform.StreamQuarantine,
 		Decoder: entry.Decoder{
 			Settings:    platform.DecodeSettings,
 			Server:      platform.DecodeServer,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/camphorlever/camphorlever/internal/catalog"
 	"github.com/camphorlever/camphorlever/internal/filter"
 	"github.com/camphorlever/camphorlever/internal/filter/forward"
+	quarantinefilter "github.com/camphorlever/camphorlever/internal/filter/quarantine"
 	"github.com/camphorlever/camphorlever/internal/filter/recovery"
 	"github.com/camphorlever/camphorlever/internal/filter/route"
 	"github.com/camphorlever/camphorlever/internal/filter/spend"
@@ -28,6 +29,7 @@
 	"github.com/camphorlever/camphorlever/internal/peers"
 	"github.com/camphorlever/camphorlever/internal/prepaid"
 	"github.com/camphorlever/camphorlever/internal/pressure"
+	"github.com/camphorlever/camphorlever/internal/quarantine"
 	"github.com/camphorlever/camphorlever/internal/retry"
 	"github.com/camphorlever/camphorlever/internal/rpc"
 	"github.com/camphorlever/camphorlever/internal/supervise"
@@ -68,9 +70,10 @@
 // The long polls are short enough to notice a silent connection within that
 // time; the addresses of routers are not urgent.
 var (
-	settingsTiming = watch.PollTiming{MinInterval: 100 * time.Millisecond, LongPoll: 900 * time.Millisecond}
-	serversTiming  = watch.PollTiming{MinInterval: 500 * time.Millisecond, LongPoll: 900 * time.Millisecond}
-	routersTiming  = watch.PollTiming{MinInterval: time.Second, LongPoll: 10 * time.Second}
+	settingsTiming   = watch.PollTiming{MinInterval: 100 * time.Millisecond, LongPoll: 900 * time.Millisecond}
+	serversTiming    = watch.PollTiming{MinInterval: 500 * time.Millisecond, LongPoll: 900 * time.Millisecond}
+	quarantineTiming = watch.PollTiming{MinInterval: 100 * time.Millisecond, LongPoll: 5 * time.Second}
+	routersTiming    = watch.PollTiming{MinInterval: time.Second, LongPoll: 10 * time.Second}
 )
 
 // Log is the platform's log.
@@ -105,31 +108,35 @@
 	RetryLimits        retry.Limits  // of the whole fleet, for each service
 	LogWritesPerSecond float64       // appends that all routers together may make; zero if unknown
 
-	StreamSettings logservice.Stream
-	StreamServers  logservice.Stream
-	StreamBudgets  logservice.Stream
-	StreamLayout   logservice.Stream // number of shards of the ledger
-	StreamRouters  logservice.Stream
-	Decoder        Decoder
+	StreamSettings   logservice.Stream
+	StreamServers    logservice.Stream
+	StreamBudgets    logservice.Stream
+	StreamLayout     logservice.Stream // number of shards of the ledger
+	StreamRouters    logservice.Stream
+	StreamQuarantine logservice.Stream
+	Decoder          Decoder
 }
 
 // Router is a router process.
 type Router struct {
-	options       Options
-	platform      Log
-	codec         Codec
-	log           zerolog.Logger
-	settings      *settingsSink
-	servers       *membership.Table
-	serverWatcher *watch.Watcher
-	peerWatcher   *watch.Watcher
-	peerSet       *peers.PeerSet
-	balances      *prepaid.LocalBalances
-	placer        *affinity.Placer
-	pool          *upstream.Pool
-	chain         filter.Next
-	pressure      *pressure.Monitor
-	metrics       *requestMetrics
+	options           Options
+	platform          Log
+	codec             Codec
+	log               zerolog.Logger
+	settings          *settingsSink
+	servers           *membership.Table
+	serverWatcher     *watch.Watcher
+	peerWatcher       *watch.Watcher
+	peerSet           *peers.PeerSet
+	balances          *prepaid.LocalBalances
+	placer            *affinity.Placer
+	pool              *upstream.Pool
+	quarantine        *quarantine.Tracker
+	quarantineWatcher *watch.Watcher
+	peerClient        *peers.Client
+	chain             filter.Next
+	pressure          *pressure.Monitor
+	metrics           *requestMetrics
 
 	activeRequests atomic.Int64 // requests in progress
 	stopping       atomic.Bool  // readiness is denied, so that the platform sends no new callers
@@ -170,21 +177,25 @@
 	r.pressure = pressure.New(o.LinkBytesPerSecond, r.peerSet.MayReportFull, logger)
 	r.peerWatcher = watch.New(log, o.StreamRouters, r.peerSet, routersTiming, logger)
 	streams := prepaid.Streams{Budgets: o.StreamBudgets, Layout: o.StreamLayout, Shards: ledgerShards(o.LogWritesPerSecond)}
-	peerClient := peers.NewClient(r.peerSet, o.FleetKey)
-	r.serverWatcher.ShareSnapshots(peerClient)
-	r.balances = prepaid.NewLocalBalances(log, streams, incarnation, r.settings.Current, peerClient, logger)
+	r.peerClient = peers.NewClient(r.peerSet, o.FleetKey)
+	r.serverWatcher.ShareSnapshots(r.peerClient)
+	r.balances = prepaid.NewLocalBalances(log, streams, incarnation, r.settings.Current, r.peerClient, logger)
+	r.quarantine = quarantine.New(logger)
+	r.quarantineWatcher = watch.New(log, o.StreamQuarantine, r.quarantine, quarantineTiming, logger)
 	r.chain = filter.Chain(
 		recovery.New(r.log),
 		route.New(&syncedSettings{r.settings}),
 		r.stopFilter,
+		quarantinefilter.New(r.quarantine),
 		spend.New(r.balances),
 		forward.New(forward.Deps{
-			Codec:   codec,
-			Servers: r.servers,
-			Placer:  r.placer,
-			Pool:    r.pool,
-			Retries: func() retry.Limits { return routerRetryLimits(o.RetryLimits, len(r.peerSet.Fleet().Routers)) },
-			Log:     logger,
+			Codec:      codec,
+			Servers:    r.servers,
+			Placer:     r.placer,
+			Pool:       r.pool,
+			Quarantine: r.quarantine,
+			Retries:    func() retry.Limits { return routerRetryLimits(o.RetryLimits, len(r.peerSet.Fleet().Routers)) },
+			Log:        logger,
 		}),
 	)
 	return r
@@ -232,7 +243,7 @@
 		return err
 	}
 	rpcServer := rpc.NewServer(r.options.FleetKey)
-	if err := rpcServer.Register(peers.Service, peers.NewMethods(r.balances, r.snapshot)); err != nil {
+	if err := rpcServer.Register(peers.Service, peers.NewMethods(r.balances, r.snapshot, r.quarantine)); err != nil {
 		return err
 	}
 	peerMux := http.NewServeMux()
@@ -255,6 +266,10 @@
 		"sample pressure":   r.samplePressure,
 		"announce pressure": r.announcePressure,
 		"announce":          r.announce,
+		"follow quarantine": r.quarantineWatcher.Run,
+		"share quarantine":  func(ctx context.Context) { r.quarantine.RunGossip(ctx, r.peerClient) },
+		"write quarantine":  func(ctx context.Context) { r.quarantine.RunWriter(ctx, r.platform, r.options.StreamQuarantine) },
+		"probe servers":     func(ctx context.Context) { r.quarantine.RunProber(ctx, r.pool) },
 	} {
 		r.background.Go(func() { supervise.Run(ctx, r.log, name, task) })
 	}
@@ -330,6 +345,7 @@
 			r.servers.RemoveExpired()
 			r.pool.RetainServers(r.servers.Usable)
 			r.placer.RetainServers(r.servers.Known)
+			r.quarantine.Expire(r.servers.Ended)
 		}
 	}
 }
@@ -390,7 +406,7 @@
 
 // loaded reports whether all state that requests need has been read.
 func (r *Router) loaded() bool {
-	if r.settings.Current() == nil || r.serverWatcher.SyncedAt().IsZero() {
+	if r.settings.Current() == nil || r.serverWatcher.SyncedAt().IsZero() || r.quarantineWatcher.SyncedAt().IsZero() {
 		return false
 	}
 	select {
--- a/internal/filter/call.go
+++ b/internal/filter/call.go
@@ -42,6 +42,9 @@
 	Body     []byte
 	Deadline time.Time // of the whole request
 
+	// Set by the quarantine filter.
+	SharedParts []string // parts of the prompt that other requests may have, as the quarantine names them
+
 	// Set by the spend filter.
 	PrepaidReservation PrepaidReservation
 
--- a/internal/filter/forward/handler.go
+++ b/internal/filter/forward/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,6 +12,9 @@
 	"github.com/camphorlever/camphorlever/internal/affinity"
 	"github.com/camphorlever/camphorlever/internal/catalog"
 	"github.com/camphorlever/camphorlever/internal/filter"
+	quarantinefilter "github.com/camphorlever/camphorlever/internal/filter/quarantine"
+	"github.com/camphorlever/camphorlever/internal/membership"
+	"github.com/camphorlever/camphorlever/internal/quarantine"
 	"github.com/camphorlever/camphorlever/internal/refusal"
 )
 
@@ -55,23 +59,31 @@
 	if p.Route.Resumable {
 		run.lastEventID = p.Call.LastEventID
 	}
+	var last result
 	for {
 		placed, ok := h.Placer.Pick(h.Servers.ForService(p.Service.Name), affinity.Query{Key: cacheKey(p), Tried: run.tried})
 		if !ok {
 			return run.noServerLeft()
 		}
+		attemptCtx, cancel := context.WithCancelCause(ctx)
+		if verdict := run.startAttempt(placed, cancel); verdict.Blocked {
+			cancel(nil)
+			placed.Done()
+			return run.withheld(ctx, verdict, last)
+		}
 		p.Server = placed.Server
 		run.recordPlacement(placed)
-		result := run.attempt(ctx, placed)
+		last = run.attempt(attemptCtx, placed)
+		cancel(nil)
 		placed.Done()
-		run.recordAttempt(ctx, placed, result)
-		if result.outcome == delivered {
+		run.recordAttempt(ctx, placed, last)
+		if last.outcome == delivered {
 			return filter.Answered()
 		}
-		if mayRetry := run.mayRetry(ctx, result, budget.Allow); mayRetry {
+		if mayRetry := run.mayRetry(ctx, last, budget.Allow); mayRetry {
 			continue
 		}
-		return run.finalOutcome(ctx, result)
+		return run.finalOutcome(ctx, last)
 	}
 }
 
@@ -99,6 +111,29 @@
 	notSent     int
 
 	lastEventID string // last event sent to the caller, or that it already had
+
+	quarantine *quarantine.Attempt // the present attempt, or the last one
+}
+
+var errQuarantined = errors.New("a part of the prompt crashes servers")
+
+// startAttempt registers an attempt with the quarantine, which may cancel it with cancel.
+func (run *passthrough) startAttempt(placed *affinity.Placement, cancel context.CancelCauseFunc) quarantine.Verdict {
+	attempt, verdict := run.handler.Quarantine.Start(placed.Server, run.passthrough.SharedParts, run.quarantine,
+		func() { cancel(errQuarantined) })
+	if !verdict.Blocked {
+		run.quarantine = attempt
+	}
+	return verdict
+}
+
+// withheld ends a request that must not be sent any more. Earlier attempts may have run.
+func (run *passthrough) withheld(ctx context.Context, verdict quarantine.Verdict, last result) filter.Outcome {
+	out := quarantinefilter.Refuse(run.request, verdict)
+	if run.passthrough.MayHaveRun || run.request.Writer.Started() {
+		return run.finalOutcome(ctx, last)
+	}
+	return out
 }
 
 // mayRetry reports whether the request may be retried on another server, and
@@ -126,6 +161,8 @@
 	switch {
 	case errors.Is(r.cause, errCallerDisconnected):
 		return "caller_gone"
+	case errors.Is(r.cause, errQuarantined):
+		return "quarantined"
 	case ctx.Err() != nil || time.Until(p.Deadline) < minTimeLeft:
 		return "deadline"
 	case r.outcome == notSent:
@@ -248,6 +285,7 @@
 func (run *passthrough) recordAttempt(ctx context.Context, placed *affinity.Placement, result result) {
 	p := run.passthrough
 	p.LastResult = outcomeNames[result.outcome]
+	run.recordForQuarantine(ctx, placed.Server, result)
 	run.handler.counters.Inc("attempt_" + p.LastResult)
 	var avoidFor time.Duration
 	switch {
@@ -259,7 +297,7 @@
 		placed.RecordAnswer(result.outcome == failedByServer)
 	case result.outcome == notExecuted:
 		placed.RecordRefusal()
-	case ctx.Err() == nil && !errors.Is(result.cause, errCallerDisconnected):
+	case ctx.Err() == nil && !errors.Is(result.cause, errCallerDisconnected) && !errors.Is(result.cause, errQuarantined):
 		avoidFor = placed.MarkFailed()
 		run.handler.Log.Info().Str("server", placed.Server.ID).Str("address", placed.Server.Address).
 			Str("request", p.Call.Attempt).Strs("prompt_parts", loggedParts(p.Call.Parts)).Int64("events", p.EventsDelivered).
@@ -272,6 +310,23 @@
 	})
 }
 
+// recordForQuarantine reports the result of an attempt to the quarantine.
+func (run *passthrough) recordForQuarantine(ctx context.Context, server membership.Server, result result) {
+	attempt := run.quarantine
+	switch {
+	case errors.Is(result.cause, errServerReplaced) || errors.Is(result.cause, syscall.ECONNREFUSED):
+		attempt.End()
+		run.handler.Quarantine.ServerCrashed(server)
+	case result.outcome == delivered:
+		attempt.Answered()
+		attempt.End()
+	case (result.outcome == failed || result.outcome == cutOff) && !errors.Is(result.cause, errCallerDisconnected):
+		attempt.Broke(ctx.Err() == nil)
+	default:
+		attempt.End()
+	}
+}
+
 // Limits on the prompt parts in a log line, since callers choose their number and
 // the length of their IDs.
 const (
--- a/internal/filter/forward/setup.go
+++ b/internal/filter/forward/setup.go
@@ -14,6 +14,7 @@
 	"github.com/camphorlever/camphorlever/internal/counter"
 	"github.com/camphorlever/camphorlever/internal/filter"
 	"github.com/camphorlever/camphorlever/internal/membership"
+	"github.com/camphorlever/camphorlever/internal/quarantine"
 	"github.com/camphorlever/camphorlever/internal/retry"
 	"github.com/camphorlever/camphorlever/internal/upstream"
 )
@@ -40,6 +41,8 @@
 	Servers Servers
 	Placer  *affinity.Placer
 	Pool    *upstream.Pool
+	// Quarantine withholds requests that would crash servers.
+	Quarantine *quarantine.Tracker
 	// Retries returns this router's share of the retry budget of each service,
 	// which changes with the number of routers.
 	Retries func() retry.Limits
--- a/internal/filter/forward/stream.go
+++ b/internal/filter/forward/stream.go
@@ -18,6 +18,10 @@
 	errTooManyEvents = errors.New("stream has more events than the request allows tokens")
 )
 
+// provingEvents is how many events show that a prompt does not crash its server. A
+// server may crash while it writes the first one.
+const provingEvents = 2
+
 // forwardStream forwards the events of a stream to the caller as they arrive. It
 // calls onFirstEvent when the first of them arrives.
 func (run *passthrough) forwardStream(ctx context.Context, e *upstream.Exchange, silenceTimer silenceTimer, onFirstEvent func()) result {
@@ -25,7 +29,7 @@
 		e.Close(false)
 		return run.unusableResponse(ctx, errNotFromServer)
 	}
-	scanner := eventstream.NewScanner(e)
+	scanner, received := eventstream.NewScanner(e), 0
 	for first := true; ; {
 		events, err := scanner.Next()
 		if errors.Is(err, io.EOF) {
@@ -44,6 +48,9 @@
 			}
 			silenceTimer.reset(streamSilenceTimeout(run.passthrough.Route))
 		}
+		if received += eventstream.CountEvents(events); received >= provingEvents {
+			run.quarantine.Answered()
+		}
 		unsentEvents, err := run.unsentEvents(events)
 		if err != nil {
 			e.Close(false)
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -92,6 +92,18 @@
 	return e != nil && !e.removed
 }
 
+// Ended reports whether an incarnation of a server has ended without having announced
+// that.
+func (t *Table) Ended(s Server) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[s.ID]
+	if e == nil || !e.server.SameIncarnation(s) {
+		return true
+	}
+	return e.removed && !e.server.Draining
+}
+
 // Update is the content of the entry of one server.
 type Update struct {
 	ID     string
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -50,7 +50,7 @@
 
 func serveLenderOf(t *testing.T, l Lender) string {
 	control := rpc.NewServer("key")
-	require.NoError(t, control.Register(Service, NewMethods(l, nil)))
+	require.NoError(t, control.Register(Service, NewMethods(l, nil, nil)))
 	mux := http.NewServeMux()
 	mux.Handle(wire.PathRPC, control)
 	server := httptest.NewServer(mux)
--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -5,6 +5,7 @@
 	"github.com/sourcegraph/conc/panics"
 
 	"github.com/camphorlever/camphorlever/internal/prepaid"
+	"github.com/camphorlever/camphorlever/internal/quarantine"
 	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
@@ -14,15 +15,22 @@
 	Receive(args prepaid.TransferArgs) error
 }
 
+// EvidenceSink accepts evidence against prompt parts.
+type EvidenceSink interface {
+	Merge(evidence ...quarantine.Evidence)
+}
+
 // Methods are the net/rpc methods that other routers call.
 type Methods struct {
 	lender    Lender
 	snapshots Snapshots
+	evidence  EvidenceSink
 }
 
-// NewMethods returns the methods for the balances of lender and for snapshots.
-func NewMethods(lender Lender, snapshots Snapshots) *Methods {
-	return &Methods{lender: lender, snapshots: snapshots}
+// NewMethods returns the methods for the balances of lender, for snapshots and for
+// evidence.
+func NewMethods(lender Lender, snapshots Snapshots, evidence EvidenceSink) *Methods {
+	return &Methods{lender: lender, snapshots: snapshots, evidence: evidence}
 }
 
 // Lend sends tokens of an account to the calling router. They are taken from
@@ -41,6 +49,14 @@
 	return contained(func() error { return m.lender.Receive(*args) })
 }
 
+// Report accepts evidence against prompt parts.
+func (m *Methods) Report(args *EvidenceArgs, _ *struct{}) error {
+	return contained(func() error {
+		m.evidence.Merge(args.Evidence...)
+		return nil
+	})
+}
+
 // contained runs a method and returns a panic in it as an error: net/rpc would let it
 // end the process.
 func contained(method func() error) (err error) {
--- a/internal/peers/snapshots_test.go
+++ b/internal/peers/snapshots_test.go
@@ -42,7 +42,7 @@
 		for i := range size {
 			r := &snapshotRouter{}
 			control := rpc.NewServer("key")
-			require.NoError(t, control.Register(Service, NewMethods(&countingLender{}, r.Snapshots)))
+			require.NoError(t, control.Register(Service, NewMethods(&countingLender{}, r.Snapshots, nil)))
 			mux := http.NewServeMux()
 			mux.Handle(wire.PathRPC, control)
 			server := httptest.NewServer(mux)
--- /dev/null
+++ b/internal/quarantine/attempt.go
@@ -0,0 +1,234 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/camphorlever/camphorlever/internal/membership"
+)
+
+// Attempt is a request in flight to one server. Its methods may be called on nil,
+// which stands for a request without parts that other requests share.
+type Attempt struct {
+	tracker  *Tracker
+	server   membership.Server
+	parts    []string
+	sentAt   time.Time
+	previous *Attempt // of the same request
+	cancel   func()
+
+	// The tracker's lock guards all below.
+	depths    map[string]int // of the parts, as known when the request was sent
+	trials    []*suspect     // parts in quarantine that the request tries
+	answered  bool
+	cancelled bool // because of the quarantine
+	brokenAt  time.Time
+	unproven  []string       // parts without a recent answer when the attempt broke
+	crashes   map[string]int // depth of the crash that ended the attempt, by part
+}
+
+// Start registers a request that is about to be sent to a server, after an earlier
+// attempt of the same request or nil. It returns false if the request is withheld.
+// cancel is called if the request must not go on; it must not block.
+func (t *Tracker) Start(server membership.Server, parts []string, previous *Attempt, cancel func()) (*Attempt, Verdict) {
+	if len(parts) == 0 {
+		return nil, Verdict{}
+	}
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	verdict, trials := t.judge(parts, now)
+	if verdict.Blocked {
+		return nil, verdict
+	}
+	a := &Attempt{tracker: t, server: server, parts: parts, sentAt: now, previous: previous, cancel: cancel, trials: trials}
+	for _, s := range trials {
+		s.trial = a
+		t.log.Info().Str("prompt_part", s.evidence.Part).Str("server", server.ID).Msg("prompt part in quarantine is tried again")
+	}
+	for _, part := range parts {
+		if s := t.suspects[part]; s != nil && !s.refuted && len(s.evidence.Crashes) > 0 {
+			if a.depths == nil {
+				a.depths = map[string]int{}
+			}
+			a.depths[part] = s.evidence.depth()
+		}
+	}
+	t.inFlight[a] = struct{}{}
+	return a, Verdict{}
+}
+
+// Answered records that the server has written so much of an answer that the request
+// did not crash it.
+func (a *Attempt) Answered() {
+	if a == nil {
+		return
+	}
+	t, now := a.tracker, time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if a.answered {
+		return
+	}
+	a.answered = true
+	for _, part := range a.parts {
+		t.proven.Add(part, now)
+		s := t.suspects[part]
+		if s == nil || !a.sentAt.After(s.learnedAt) {
+			continue
+		}
+		s.refuted = true
+		if s.isQuarantined() {
+			t.clearPart(s, now)
+		}
+	}
+}
+
+// Broke ends an attempt whose connection failed or stayed silent. If no answer had
+// begun, it counts against the request's parts once the crash of the server is
+// confirmed. With probe, the server is probed for that.
+func (a *Attempt) Broke(probe bool) {
+	if a == nil {
+		return
+	}
+	t, now := a.tracker, time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.inFlight, a)
+	if a.answered || a.cancelled || t.pendingCount() >= maxPending {
+		t.endTrials(a)
+		return
+	}
+	a.brokenAt = now
+	a.unproven = slices.DeleteFunc(slices.Clone(a.parts), func(part string) bool { return t.isProven(part, now) })
+	key := incarnationOf(a.server)
+	first := len(t.pending[key]) == 0
+	t.pending[key] = append(t.pending[key], a)
+	if probe && first {
+		t.probes = append(t.probes, a.server)
+		t.notify()
+	}
+}
+
+// End ends an attempt that tells nothing about its parts.
+func (a *Attempt) End() {
+	if a == nil {
+		return
+	}
+	t := a.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.inFlight, a)
+	if a.brokenAt.IsZero() {
+		t.endTrials(a)
+	}
+}
+
+// endTrials allows other trials of the parts that the attempt tried. The caller holds the
+// lock.
+func (t *Tracker) endTrials(a *Attempt) {
+	for _, s := range a.trials {
+		if s.trial == a {
+			s.trial = nil
+		}
+	}
+}
+
+// pendingCount returns the number of broken attempts that wait for a sign of a crash.
+// The caller holds the lock.
+func (t *Tracker) pendingCount() int {
+	n := 0
+	for _, attempts := range t.pending {
+		n += len(attempts)
+	}
+	return n
+}
+
+// ServerCrashed records that an incarnation of a server has ended without a planned
+// stop. What it had not begun to answer counts against the parts of these requests.
+func (t *Tracker) ServerCrashed(server membership.Server) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := incarnationOf(server)
+	attempts := t.pending[key]
+	delete(t.pending, key)
+	changed := map[string]*suspect{}
+	for _, a := range attempts {
+		for _, part := range a.unproven {
+			depth := a.crashDepth(part)
+			if s, ok := t.accuse(part, Crash{Server: server.ID, StartedMS: server.StartedMS, Depth: depth}, now); ok {
+				changed[part] = s
+			}
+			a.setCrashDepth(part, depth)
+		}
+		t.endTrials(a)
+	}
+	for _, s := range changed {
+		t.decide(s, now)
+		t.share(s, 0)
+	}
+}
+
+// accuse adds a crash to the evidence against a part and reports whether it is new. The
+// caller holds the lock.
+func (t *Tracker) accuse(part string, crash Crash, now time.Time) (*suspect, bool) {
+	s := t.suspect(part, now)
+	if s == nil {
+		return nil, false
+	}
+	if len(s.evidence.Crashes) == 0 || s.refuted {
+		s.learnedAt, s.refuted = now, false
+	}
+	if !s.evidence.add(crash) {
+		return s, false
+	}
+	s.changedAt = now
+	t.events.Inc("crash_counted")
+	t.log.Info().Str("prompt_part", part).Str("server", crash.Server).Int("depth", crash.Depth).
+		Int("crashes", len(s.evidence.Crashes)).Msg("server crashed before it answered a request with the prompt part")
+	return s, true
+}
+
+// crashDepth returns the depth of the crash that ended the attempt, for one of its
+// parts. The caller holds the lock.
+func (a *Attempt) crashDepth(part string) int {
+	known := a.depths[part]
+	if a.previous != nil {
+		known = max(known, a.previous.crashes[part])
+	}
+	return known + 1
+}
+
+func (a *Attempt) setCrashDepth(part string, depth int) {
+	if a.crashes == nil {
+		a.crashes = map[string]int{}
+	}
+	a.crashes[part] = depth
+}
+
+// ServerAlive records that an incarnation of a server accepted a connection at a time:
+// attempts that broke before broke for another reason than a crash.
+func (t *Tracker) ServerAlive(server membership.Server, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := incarnationOf(server)
+	t.keepPending(key, func(a *Attempt) bool { return !a.brokenAt.Before(at) })
+}
+
+// keepPending drops the pending attempts at a server for which keep returns false. The
+// caller holds the lock.
+func (t *Tracker) keepPending(key incarnation, keep func(*Attempt) bool) {
+	kept := slices.DeleteFunc(t.pending[key], func(a *Attempt) bool {
+		if keep(a) {
+			return false
+		}
+		t.endTrials(a)
+		return true
+	})
+	if len(kept) == 0 {
+		delete(t.pending, key)
+		return
+	}
+	t.pending[key] = kept
+}
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -33,7 +33,8 @@
 	BudgetUnreachable  Code = "budget_unreachable"     // the ledger or a peer that may hold tokens is unreachable
 	Overloaded         Code = "overloaded"             // load was shed; Retry-After is set
 	NoServer           Code = "no_server"
-	LogUnavailable     Code = "log_unavailable" // claims cannot be appended to the log at present
+	PromptQuarantined  Code = "prompt_quarantined" // a part of the prompt has crashed servers
+	LogUnavailable     Code = "log_unavailable"    // claims cannot be appended to the log at present
 	Stopping           Code = "stopping"
 	NotReady           Code = "not_ready"
 	DeadlineExceeded   Code = "deadline_exceeded"
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -109,6 +109,16 @@
 	return newConn(raw, server), nil
 }
 
+// Probe connects to a server and keeps the connection for a later request.
+func (p *Pool) Probe(ctx context.Context, server membership.Server) error {
+	c, err := p.dial(ctx, server)
+	if err != nil {
+		return err
+	}
+	p.release(c, 0)
+	return nil
+}
+
 // setUserTimeout sets TCP_USER_TIMEOUT, so that a connection fails if sent
 // bytes stay unacknowledged for unackedTimeout.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
