A resumed stream takes only events that continue it

Report of another operator: after a stream broke off, the error text of the next server stood in the middle of it. Seen here with a 200 that is no event stream: "200, error text" and "200, error without length" of TestErrorOfTheNextServerIsNotPartOfAStream failed, the text was forwarded as an event without id. Errors with another status were cut already; these cases stay as proof. Cause: a 200 on a streaming route was taken for a stream whatever its type, and an event without id for one in sequence. Change: a response with another content type is buffered like any answer, so after the first event the stream is cut. The first event of a continuation must have an id if earlier ones had. An answer proves a prompt sound by its second event or its framed end, not by the mere end of a connection.

--- a/internal/filter/forward/attempt.go
+++ b/internal/filter/forward/attempt.go
@@ -63,7 +63,7 @@
 		return run.notExecuted(exchange)
 	}
 	p.MayHaveRun = true
-	if isStream(p.Route) && exchange.Status == http.StatusOK {
+	if isStream(p.Route) && exchange.Status == http.StatusOK && isEventStream(exchange.Header) {
 		return run.forwardStream(ctx, exchange, silenceTimer, func() { placed.RecordFirstResponse(p.Route.Name, time.Since(sentAt)) })
 	}
 	placed.RecordFirstResponse(p.Route.Name, time.Since(sentAt))
@@ -144,6 +144,9 @@
 	case run.request.Writer.Started():
 		return result{outcome: cutOff, cause: errors.Errorf("server answered the stream resumption with status %d", e.Status)}
 	}
+	if success && !e.CloseDelimited {
+		run.quarantine.Answered()
+	}
 	resp := &response{status: e.Status, header: e.Header, body: body}
 	if e.Status >= http.StatusInternalServerError {
 		return result{outcome: failedByServer, response: resp, cause: errors.Errorf("server answered with status %d", e.Status)}
--- a/internal/filter/forward/handler.go
+++ b/internal/filter/forward/handler.go
@@ -317,9 +317,6 @@
 	case errors.Is(result.cause, errServerReplaced) || errors.Is(result.cause, syscall.ECONNREFUSED):
 		attempt.End()
 		run.handler.Quarantine.ServerCrashed(server)
-	case result.outcome == delivered:
-		attempt.Answered()
-		attempt.End()
 	case (result.outcome == failed || result.outcome == cutOff) && !errors.Is(result.cause, errCallerDisconnected):
 		attempt.Broke(ctx.Err() == nil)
 	default:
--- a/internal/filter/forward/stream.go
+++ b/internal/filter/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,6 +19,16 @@
 	errTooManyEvents = errors.New("stream has more events than the request allows tokens")
 )
 
+const eventStreamType = "text/event-stream"
+
+// isEventStream reports whether a response is an event stream by its header. A response
+// without a type is taken for one.
+func isEventStream(h http.Header) bool {
+	contentType := h.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return contentType == "" || (err == nil && mediaType == eventStreamType)
+}
+
 // provingEvents is how many events show that a prompt does not crash its server. A
 // server may crash while it writes the first one.
 const provingEvents = 2
@@ -34,6 +45,9 @@
 		events, err := scanner.Next()
 		if errors.Is(err, io.EOF) {
 			e.Close(true)
+			if !e.CloseDelimited {
+				run.quarantine.Answered()
+			}
 			return run.finishStream(e)
 		}
 		if err != nil {
@@ -48,6 +62,10 @@
 			}
 			silenceTimer.reset(streamSilenceTimeout(run.passthrough.Route))
 		}
+		if received == 0 && !run.continues(events) {
+			e.Close(false)
+			return run.unusableResponse(ctx, errOutOfOrder)
+		}
 		if received += eventstream.CountEvents(events); received >= provingEvents {
 			run.quarantine.Answered()
 		}
@@ -66,6 +84,23 @@
 	}
 }
 
+// continues reports whether events begin with one that can follow those sent to the caller
+// in earlier attempts. Numbered events are followed by numbered ones.
+func (run *passthrough) continues(events []byte) bool {
+	if !run.request.Writer.Started() || run.lastEventID == "" {
+		return true
+	}
+	numbered := true
+	eventstream.Split(events, func(event []byte) bool {
+		if eventstream.IsComment(event) {
+			return true
+		}
+		numbered = eventstream.ID(event) != ""
+		return false
+	})
+	return numbered
+}
+
 // unsentEvents checks the order and the number of events and drops leading ones that
 // were already sent to the caller, as happens when a stream is resumed.
 func (run *passthrough) unsentEvents(events []byte) ([]byte, error) {
