A stream without length that ends before its first event has broken off

Seen here: a server that ended the connection after the head gave the caller a complete, empty stream with status 200, and a resumable one was not resumed ("stream without an event" and "before the first" of the new tests failed; "200, empty without length" ended a stream as if it were complete). Cause: the end of the connection was taken for the end of the stream wherever it stood. Change: without a length it counts as the end only after a complete event. An end within an event, an id or after a line was detected before; these cases stay as proof.

--- a/internal/filter/forward/stream.go
+++ b/internal/filter/forward/stream.go
@@ -17,6 +17,7 @@
 var (
 	errOutOfOrder    = errors.New("events are out of order")
 	errTooManyEvents = errors.New("stream has more events than the request allows tokens")
+	errEmptyStream   = errors.New("connection ended before the first event of the stream")
 )
 
 const eventStreamType = "text/event-stream"
@@ -45,6 +46,9 @@
 		events, err := scanner.Next()
 		if errors.Is(err, io.EOF) {
 			e.Close(true)
+			if received == 0 && e.CloseDelimited {
+				return run.unusableResponse(ctx, errEmptyStream)
+			}
 			if !e.CloseDelimited {
 				run.quarantine.Answered()
 			}
