A repeated refusal is not taken for the answer to a later request with the same id or none

Report of another operator: a server wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran. Here responses are matched by their attempt id, so a refusal of another request is skipped, at each byte. But two requests with the same id, or both without one, could not be told apart on one connection: TestRepeatedRefusalIsNeverAnotherRequests- Response failed for "same id" and "no id" (a request that ran was reported as not executed). Change: a connection remembers the attempts it has carried (hashes, at most 512, then it is closed after its answer) and carries none twice; a request without an id gets a new connection, which is not used again.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,9 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/camphorlever/camphorlever/internal/membership"
@@ -27,6 +29,8 @@
 	// maxHeadBytes limits the head of a response, including the interim responses
 	// before it. A faulty server may send bytes without end.
 	maxHeadBytes = 64 << 10
+	// maxCarried limits the requests on one connection, whose IDs are remembered.
+	maxCarried = 512
 	// maxDiscardedBytes limits the body of a response that is skipped.
 	maxDiscardedBytes = 256 << 10
 )
@@ -46,6 +50,7 @@
 	usableUntil time.Time // the server may close the connection after this
 	reused      bool      // has carried an earlier request
 	notReusable bool      // must not carry another request
+	carried     []uint64  // hashes of the attempts that it has carried
 }
 
 func newConn(c net.Conn, server membership.Server) *conn {
@@ -59,6 +64,21 @@
 	}
 }
 
+// mayCarry reports whether a response to an earlier request on the connection could not be
+// taken for one to the given attempt.
+func (c *conn) mayCarry(attempt string) bool {
+	return attempt != "" && !slices.Contains(c.carried, xxhash.Sum64String(attempt))
+}
+
+// carry records an attempt. A connection is not reused after one without an ID, since its
+// responses cannot be told from others, or after maxCarried.
+func (c *conn) carry(attempt string) {
+	c.carried = append(c.carried, xxhash.Sum64String(attempt))
+	if attempt == "" || len(c.carried) >= maxCarried {
+		c.notReusable = true
+	}
+}
+
 // hasNoInput reports whether an idle connection has nothing to read: no
 // unexpected bytes, no end of the stream and no error.
 func (c *conn) hasNoInput() bool {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -42,7 +42,7 @@
 // ErrIncompleteResponse, ErrResponseMismatch and any other error it may have
 // run.
 func (p *Pool) Do(ctx context.Context, req *Request) (*Exchange, error) {
-	c, err := p.acquire(ctx, req.Server, req.FreshConn)
+	c, err := p.acquire(ctx, req)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -63,19 +63,24 @@
 	return &Pool{parser: parser, events: counter.NewSet("upstream"), idle: map[serverIncarnation][]*conn{}}
 }
 
-// acquire returns an idle connection to a server, or a new one if none can be
-// reused. With freshConn it reuses only connections idle for at most
+// acquire returns an idle connection for a request, or a new one if none can be reused.
+// For a request that must not be sent twice it reuses only connections idle for at most
 // maxFreshIdle.
-func (p *Pool) acquire(ctx context.Context, server membership.Server, freshConn bool) (*conn, error) {
+func (p *Pool) acquire(ctx context.Context, req *Request) (*conn, error) {
 	for {
-		c := p.popIdle(server)
+		c := p.popIdle(req.Server)
 		if c == nil {
-			return p.dial(ctx, server)
+			c, err := p.dial(ctx, req.Server)
+			if err == nil {
+				c.carry(req.Attempt)
+			}
+			return c, err
 		}
 		now := time.Now()
-		stale := now.After(c.usableUntil) || (freshConn && now.Sub(c.idleSince) > maxFreshIdle)
-		if !stale && c.hasNoInput() {
+		stale := now.After(c.usableUntil) || (req.FreshConn && now.Sub(c.idleSince) > maxFreshIdle)
+		if !stale && c.mayCarry(req.Attempt) && c.hasNoInput() {
 			c.reused = true
+			c.carry(req.Attempt)
 			return c, nil
 		}
 		p.events.Inc("idle_closed")
@@ -109,14 +114,13 @@
 	return newConn(raw, server), nil
 }
 
-// Probe connects to a server and keeps the connection for a later request.
+// Probe connects to a server and closes the connection.
 func (p *Pool) Probe(ctx context.Context, server membership.Server) error {
 	c, err := p.dial(ctx, server)
 	if err != nil {
 		return err
 	}
-	p.release(c, 0)
-	return nil
+	return errors.Wrap(c.netConn.Close(), "close")
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT, so that a connection fails if sent
