TestBytesAfterTheResponseAreNotRead waits for the bytes that it is about

The second request is sent in the moment between the response and the first byte after it, so the connection looks clean; it then ends as "may have run", which is true.

--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -111,6 +111,7 @@
 		e.Close(err == nil)
 		require.NoError(t, err)
 		require.Equal(t, "ok", string(body))
+		require.Eventually(t, func() bool { return sent.Load() > 0 }, time.Second, time.Millisecond)
 	}
 	require.EqualValues(t, 2, s.conns.Load())
 	require.Less(t, sent.Load(), int64(socketBuffers))
