Only an answer shows that a server lives; an accepted connection does not

Cause, found while the soak learned to play a deadly part: its workers stand behind proxies that accept connections while the worker is down. The probe took that for a sign of life and dropped the evidence, so a part that crashes servers would never be found behind such a device. Change: evidence of a broken attempt is dropped once the same incarnation answers a later request; a refused connection or the list of servers confirms a crash as before.

--- a/internal/filter/forward/handler.go
+++ b/internal/filter/forward/handler.go
@@ -73,9 +73,11 @@
 		}
 		p.Server = placed.Server
 		run.recordPlacement(placed)
+		sentAt := time.Now()
 		last = run.attempt(attemptCtx, placed)
 		cancel(nil)
 		placed.Done()
+		run.recordForQuarantine(ctx, placed.Server, sentAt, last)
 		run.recordAttempt(ctx, placed, last)
 		if last.outcome == delivered {
 			return filter.Answered()
@@ -285,7 +287,6 @@
 func (run *passthrough) recordAttempt(ctx context.Context, placed *affinity.Placement, result result) {
 	p := run.passthrough
 	p.LastResult = outcomeNames[result.outcome]
-	run.recordForQuarantine(ctx, placed.Server, result)
 	run.handler.counters.Inc("attempt_" + p.LastResult)
 	var avoidFor time.Duration
 	switch {
@@ -311,7 +312,7 @@
 }
 
 // recordForQuarantine reports the result of an attempt to the quarantine.
-func (run *passthrough) recordForQuarantine(ctx context.Context, server membership.Server, result result) {
+func (run *passthrough) recordForQuarantine(ctx context.Context, server membership.Server, sentAt time.Time, result result) {
 	attempt := run.quarantine
 	switch {
 	case errors.Is(result.cause, errServerReplaced) || errors.Is(result.cause, syscall.ECONNREFUSED):
@@ -319,6 +320,9 @@
 		run.handler.Quarantine.ServerCrashed(server)
 	case (result.outcome == failed || result.outcome == cutOff) && !errors.Is(result.cause, errCallerDisconnected):
 		attempt.Broke(ctx.Err() == nil)
+	case result.outcome == delivered || result.outcome == failedByServer || result.outcome == notExecuted:
+		attempt.End()
+		run.handler.Quarantine.ServerAlive(server, sentAt)
 	default:
 		attempt.End()
 	}
--- a/internal/quarantine/attempt.go
+++ b/internal/quarantine/attempt.go
@@ -207,13 +207,14 @@
 	a.crashes[part] = depth
 }
 
-// ServerAlive records that an incarnation of a server accepted a connection at a time:
-// attempts that broke before broke for another reason than a crash.
-func (t *Tracker) ServerAlive(server membership.Server, at time.Time) {
+// ServerAlive records that an incarnation of a server responded to a request that was sent
+// at a time: attempts that broke before broke for another reason than a crash.
+func (t *Tracker) ServerAlive(server membership.Server, sentAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	key := incarnationOf(server)
-	t.keepPending(key, func(a *Attempt) bool { return !a.brokenAt.Before(at) })
+	if key := incarnationOf(server); len(t.pending[key]) > 0 {
+		t.keepPending(key, func(a *Attempt) bool { return !a.brokenAt.Before(sentAt) })
+	}
 }
 
 // keepPending drops the pending attempts at a server for which keep returns false. The
--- a/internal/quarantine/cluster_test.go
+++ b/internal/quarantine/cluster_test.go
@@ -202,6 +202,7 @@
 		return lost
 	}
 	cancelled := make(chan struct{})
+	sentAt := time.Now()
 	attempt, verdict := r.Start(s.Server, parts, nil, func() { close(cancelled) })
 	if verdict.Blocked {
 		return withheld
@@ -220,6 +221,7 @@
 		}
 		attempt.Answered()
 		attempt.End()
+		r.ServerAlive(s.Server, sentAt)
 		return answered
 	case <-s.crashed:
 		attempt.Broke(true)
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -175,16 +175,13 @@
 
 func (t *Tracker) probe(ctx context.Context, prober Prober, server membership.Server) {
 	pause(ctx, probeDelay)
-	at := time.Now()
-	err := prober.Probe(ctx, server)
-	switch {
-	case err == nil:
-		t.ServerAlive(server, at)
-	case errors.Is(err, syscall.ECONNREFUSED):
+	if err := prober.Probe(ctx, server); errors.Is(err, syscall.ECONNREFUSED) {
 		t.ServerCrashed(server)
-	default:
-		t.events.Inc("probe_failed") // the list of servers will tell
+		return
 	}
+	// Something may accept connections in place of a server that is down, so only an
+	// answer shows that it lives. Otherwise the list of servers will tell.
+	t.events.Inc("probe_undecided")
 }
 
 // Expire drops what is too old to count. It must be called periodically. ended reports
