Soak: a prompt part that crashes workers

Promise: at most 3 such requests reach workers later than 3 s after the fifth crash, from undisturbed routers.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -57,6 +58,7 @@
 	kind       string
 	path       string
 	events     int
+	deadly     bool // the prompt has the deadly part
 	account    int
 	generation int // of the key
 	router     int
@@ -108,6 +110,7 @@
 	if q.kind == "stream" || q.kind == "resume" {
 		q.events = 2 + r.IntN(60)
 		q.path = fmt.Sprintf("/%s/%d/%s", q.kind, q.events, attempt)
+		q.deadly = w.deadly.Load() && r.IntN(6) == 0
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -157,6 +160,9 @@
 	if q.events > 0 {
 		c.MaxOutputTokens = int64(q.events) * tokensPerEvent
 		c.Prompt = []standin.PromptPart{{ID: "aa", Tokens: sharedTokens}, {ID: q.attempt[:1] + "b", Tokens: promptTokens - sharedTokens}}
+		if q.deadly {
+			c.Prompt = slices.Insert(c.Prompt, 1, standin.PromptPart{ID: deadlyPart})
+		}
 	}
 	return c
 }
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -80,6 +80,10 @@
 		w.store.AppendRaw(platform.StreamServers, []byte{9, 'x'})
 		w.store.AppendKeyed(platform.StreamServers, "i-77", standin.MalformedEntry)
 		w.store.AppendKeyed(platform.StreamOperator, "unknown", "no settings")
+	case deadly:
+		w.deadly.Store(true)
+		time.Sleep(span)
+		w.deadly.Store(false)
 	case impatience:
 		impatient.Store(true)
 		time.Sleep(span)
@@ -210,6 +214,29 @@
 	w.store.AppendKeyed(platform.StreamServers, old.ID, "")
 }
 
+// crashFor crashes a worker because of a request, and brings another one.
+func (w *world) crashFor(old *worker, attempt string) {
+	w.mu.Lock()
+	was := old.gone
+	old.gone = true
+	w.mu.Unlock()
+	w.notes.deadlySent(attempt, time.Now())
+	if was {
+		return
+	}
+	w.notes.crashed(time.Now())
+	old.Close()
+	old.way.close()
+	w.work.Go(func() {
+		time.Sleep(500 * time.Millisecond)
+		if err := w.addWorker("svc"); err != nil {
+			w.notes.broken("%v", err)
+		}
+		time.Sleep(500 * time.Millisecond) // until its entry lapses
+		w.store.AppendKeyed(platform.StreamServers, old.ID, "")
+	})
+}
+
 // recover ends what is left of faults and looks whether requests are served
 // again after the time that a disruption may take.
 func (w *world) recover() {
--- a/test/soak/guards_test.go
+++ b/test/soak/guards_test.go
@@ -54,6 +54,12 @@
 		without: "if true {",
 		faults:  []Fault{{At: 500, For: 3000, N: 0, Kind: grey, Way: "foreign"}, {At: 500, For: 3000, N: 1, Kind: grey, Way: "extra"}},
 	},
+	{
+		name: "a part that crashes servers is withheld", file: "internal/quarantine/tracker.go",
+		line:    "	if len(t.quarantined) == 0 {\n",
+		without: "	if true {\n",
+		faults:  []Fault{{At: 500, For: 6500, Kind: deadly}},
+	},
 }
 
 // seedsEach is how many seeds look for a guard that is missing.
--- a/test/soak/promises_test.go
+++ b/test/soak/promises_test.go
@@ -33,10 +33,12 @@
 	leavings   map[string]time.Time // by worker
 	revoking   map[string]time.Time // by key
 	recovering time.Time
+	crashes    []time.Time          // because of the deadly prompt part
+	deadly     map[string]time.Time // when requests with it reached workers, by attempt
 }
 
 func newNotes() *notes {
-	return &notes{leavings: map[string]time.Time{}, revoking: map[string]time.Time{}}
+	return &notes{leavings: map[string]time.Time{}, revoking: map[string]time.Time{}, deadly: map[string]time.Time{}}
 }
 
 func (n *notes) broken(format string, args ...any) {
@@ -83,6 +85,18 @@
 	n.revoking[keyOf(account, generation)] = at
 }
 
+func (n *notes) crashed(at time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.crashes = append(n.crashes, at)
+}
+
+func (n *notes) deadlySent(attempt string, at time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.deadly[attempt] = at
+}
+
 func (n *notes) recoveryBegins(at time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -118,6 +132,7 @@
 	out = append(out, n.checkDrains()...)
 	out = append(out, n.checkAnswers(runs)...)
 	out = append(out, n.checkTimeouts()...)
+	out = append(out, n.checkDeadlyPart()...)
 	return append(out, n.checkRecovery()...)
 }
 
@@ -272,6 +287,29 @@
 	return out
 }
 
+// What a prompt part may do to the workers.
+const (
+	toleratedCrashes = 5
+	lateDeadlySends  = 3 // later than settle after the last tolerated crash
+)
+
+// checkDeadlyPart: undisturbed routers stop sending requests that crash workers.
+func (n *notes) checkDeadlyPart() (out []string) {
+	if len(n.crashes) < toleratedCrashes {
+		return nil
+	}
+	limit, late := n.crashes[toleratedCrashes-1].Add(settle), 0
+	for _, q := range n.requests {
+		if at, reached := n.deadly[q.attempt]; reached && at.After(limit) && n.calm(q.router, at.Add(-settle), at) {
+			late++
+		}
+	}
+	if late > lateDeadlySends {
+		out = append(out, fmt.Sprintf("%d requests with a deadly prompt part reached workers later than %v after %d crashes", late, settle, toleratedCrashes))
+	}
+	return out
+}
+
 // checkRecovery: when all troubles are over, nine in ten of the requests that
 // need no tokens are served.
 func (n *notes) checkRecovery() (out []string) {
--- a/test/soak/schedule_test.go
+++ b/test/soak/schedule_test.go
@@ -35,6 +35,7 @@
 	revoke     Kind = "revoke"     // an account's key is replaced
 	foreign    Kind = "foreign"    // entries that nobody can read come into the streams
 	impatience Kind = "impatience" // callers leave early
+	deadly     Kind = "deadly"     // a prompt part crashes workers
 )
 
 // Fault is one fault of a schedule.
@@ -70,6 +71,10 @@
 var kinds = []Kind{kill, kill, killAll, pause, pause, stop, reload, logCut, logReset, logDelay, logFault, logFault, logFault, forget,
 	workerCut, crash, leave, leave, reuse, grey, grey, topUp, revoke, foreign, impatience}
 
+// deadlyEvery: one of so many seeds has a deadly prompt part. It is not one of kinds, so
+// that the schedules of other seeds stay as they were.
+const deadlyEvery = 4
+
 // draw makes the schedule of a seed: single faults, series of one kind, and
 // overlaps.
 func draw(seed uint64) Schedule {
@@ -92,6 +97,10 @@
 			f.N++
 		}
 	}
+	if seed%deadlyEvery == deadlyEvery-1 {
+		at := r.IntN(faultsTill / 3)
+		s.Faults = append(s.Faults, Fault{At: at, Kind: deadly, For: faultsTill - at})
+	}
 	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return a.At - b.At })
 	return s
 }
--- a/test/soak/workers_test.go
+++ b/test/soak/workers_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -18,6 +19,7 @@
 	tokensPerEvent = 4  // as the settings say
 	eventGap       = 4 * time.Millisecond
 	workTime       = 15 * time.Millisecond
+	deadlyPart     = "dead" // crashes workers
 )
 
 func (w *worker) setGrey(way string) {
@@ -27,7 +29,7 @@
 }
 
 // answer does what a backend server does with a request, and notes what it ran.
-func (w *worker) answer(n *notes, conn net.Conn, r *http.Request) {
+func (w *worker) answer(n *notes, conn net.Conn, r *http.Request, crash func(attempt string)) {
 	w.mu.Lock()
 	grey, id := w.grey, w.ID
 	w.mu.Unlock()
@@ -42,6 +44,11 @@
 	}
 	n.runs(run{attempt: sent.AttemptID, account: sent.Account, worker: id, service: w.service, path: r.URL.Path, at: time.Now()})
 	_, events := parsePath(r.URL.Path)
+	if slices.Contains(sent.PromptParts, deadlyPart) {
+		time.Sleep(workTime)
+		crash(sent.AttemptID)
+		return
+	}
 	switch {
 	case grey == "hang-up":
 		_ = conn.Close()
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -46,6 +46,7 @@
 	store   *standin.LogServer
 	routers []*router
 	notes   *notes
+	deadly  atomic.Bool // callers send the deadly prompt part
 
 	mu       sync.Mutex // guards all below
 	workers  []*worker
@@ -157,7 +158,7 @@
 	defer w.mu.Unlock()
 	added := &worker{service: service}
 	server, err := standin.NewBackendServer(fmt.Sprintf("i-%d", w.next), w.network+".100:0", func(conn net.Conn, r *http.Request, _ int) {
-		added.answer(w.notes, conn, r)
+		added.answer(w.notes, conn, r, func(attempt string) { w.crashFor(added, attempt) })
 	})
 	if err != nil {
 		return err
