--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -138,12 +138,12 @@
 
 func (r *Report) lastDecision() line { return r.decisions[len(r.decisions)-1] }
 
-// subjects returns the backend servers and client accounts that the decisions
-// on the request name.
+// subjects returns the backend servers, client accounts and prompt parts that the
+// decisions on the request name.
 func (r *Report) subjects() []string {
 	var names []string
 	for _, l := range r.decisions {
-		for _, field := range []string{"server", "account"} {
+		for _, field := range subjectFields {
 			if name := l.stringField(field); name != "" && !slices.Contains(names, name) {
 				names = append(names, name)
 			}
@@ -152,11 +152,15 @@
 	return names
 }
 
+// subjectFields are the fields by which a state change is relevant to a request, the
+// first of them that a line has.
+var subjectFields = []string{"prompt_part", "server", "account"}
+
 // isRelevant reports whether a state change is relevant to the request: it names
-// one of the given servers or accounts, or concerns the settings, the log or the
-// process as a whole. Changes that concern another router are not relevant.
+// one of the given prompt parts, servers or accounts, or concerns the settings, the log
+// or the process as a whole. Changes that concern another router are not relevant.
 func isRelevant(l line, names []string) bool {
-	for _, field := range []string{"server", "account"} {
+	for _, field := range subjectFields {
 		if name := l.stringField(field); name != "" {
 			return slices.Contains(names, name)
 		}
@@ -176,6 +180,7 @@
 	"not_ready":          "The router had not read the settings, or could not make sure that they were the newest.",
 	"stopping":           "The router was being stopped and the request would have been cut.",
 	"no_server":          "No server could be reached, or none of the service was known.",
+	"prompt_quarantined": "A part of the prompt was in a request at successive crashes of servers, and nothing with it was answered: see the servers named there. The part is tried again after retry_after.",
 	"overloaded":         "The servers refused without running it, and no further attempt was allowed.",
 	"backend_failed":     "The answer had begun and broke off; the request could not go on elsewhere.",
 	"outcome_unknown":    "The request reached a server that gave no usable answer; it may have run, so nothing is promised.",
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -48,9 +48,11 @@
 
 func serveLender(t *testing.T, l *fakeLender) string { return serveLenderOf(t, l) }
 
-func serveLenderOf(t *testing.T, l Lender) string {
+func serveLenderOf(t *testing.T, l Lender) string { return serveMethods(t, NewMethods(l, nil, nil)) }
+
+func serveMethods(t *testing.T, methods *Methods) string {
 	control := rpc.NewServer("key")
-	require.NoError(t, control.Register(Service, NewMethods(l, nil, nil)))
+	require.NoError(t, control.Register(Service, methods))
 	mux := http.NewServeMux()
 	mux.Handle(wire.PathRPC, control)
 	server := httptest.NewServer(mux)
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -262,6 +262,18 @@
 	})
 }
 
+// TestOperatorClearsAPartByAnEntry writes the next epoch by hand.
+func TestOperatorClearsAPartByAnEntry(t *testing.T) {
+	test(t, func(t *testing.T, tracker *Tracker) {
+		tracker.Merge(Evidence{Part: "p", Epoch: 3, Crashes: []Crash{{"s1", 1, 1}, {"s2", 1, 2}}})
+		require.True(t, blockedBy(tracker, "p"))
+		tracker.Apply([]logservice.KeyedEntry{{Key: "p", Value: []byte(`{"part":"p","epoch":4,"crashes":[]}`)}})
+		require.False(t, blockedBy(tracker, "p"))
+		tracker.Merge(Evidence{Part: "p", Epoch: 3, Crashes: []Crash{{"s3", 1, 2}}})
+		require.False(t, blockedBy(tracker, "p"), "of the epoch before")
+	})
+}
+
 // TestEntryThatAnotherRouterOverwroteIsWrittenAgain has two routers write at once.
 func TestEntryThatAnotherRouterOverwroteIsWrittenAgain(t *testing.T) {
 	test(t, func(t *testing.T, tracker *Tracker) {
