Servers that leave or ask for a pause in their responses get no requests

The pool tells them for the incarnation that the connection was made to, if the response has the id of a request sent there. Leaving is a flag of the incarnation in the table of servers, which its entries do not undo; a new incarnation begins without it. A pause is kept by the placement: no requests until its end, then for a growing share of them over 2 s. If all servers are paused, requests are refused at once with 429 and a Retry-After over the time of their return.

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -30,6 +30,9 @@
 	// further failure in a row, up to maxAvoidPeriod.
 	avoidPeriod    = 500 * time.Millisecond
 	maxAvoidPeriod = 4 * time.Second
+	// ReturnPeriod is how long the share of requests for which a server may be chosen
+	// grows after a pause that it asked for, from none to all.
+	ReturnPeriod = 2 * time.Second
 )
 
 // Query describes a request that needs a server.
@@ -55,6 +58,7 @@
 	inFlight   int
 	failures   int       // consecutive
 	avoidUntil time.Time // after a failure
+	pauseUntil time.Time // the server asked for no requests before; zero if it never did
 	sequence   int64     // sequence number of the server's newest entry
 	replaced   bool      // another server now answers at the address in that entry
 	health     health
@@ -83,7 +87,7 @@
 }
 
 // Pick chooses one of the servers, all of one service, and counts the request
-// as in flight there. It returns false if all have been tried.
+// as in flight there. It returns false if all have been tried or asked for a pause.
 func (p *Placer) Pick(servers []membership.Server, q Query) (*Placement, bool) {
 	now := time.Now()
 	p.mu.Lock()
@@ -122,8 +126,9 @@
 	return float64(c.node.inFlight+1)*c.penalty - 1
 }
 
-// candidates returns the servers that have not been tried, without those that are
-// avoided unless there are no others, and their total requests in flight.
+// candidates returns the servers that have not been tried and asked for no pause, and
+// their total requests in flight. Those that are avoided, or that return from a pause and
+// are not due for this request, are included only if there are no others.
 func (p *Placer) candidates(servers []membership.Server, tried []string, now time.Time) (eligible []candidate, total int) {
 	eligible = make([]candidate, 0, len(servers))
 	var avoided []candidate
@@ -133,7 +138,14 @@
 			continue
 		}
 		n := p.node(s)
-		if n.isAvoided(now) {
+		returning := false
+		if !n.pauseUntil.IsZero() {
+			if n.isPaused(now) {
+				continue
+			}
+			returning = !n.isDue(now)
+		}
+		if returning || n.isAvoided(now) {
 			avoided = append(avoided, candidate{server: s, node: n})
 			continue
 		}
@@ -183,6 +195,60 @@
 	return b
 }
 
+// isPaused reports whether a server has asked for no requests now.
+func (n *node) isPaused(now time.Time) bool {
+	return now.Before(n.pauseUntil)
+}
+
+// isDue reports whether a server that returns from a pause may be chosen for a request. It
+// is true for a growing share of them, so that their number does not jump.
+func (n *node) isDue(now time.Time) bool {
+	since := now.Sub(n.pauseUntil)
+	return since >= ReturnPeriod || rand.N(ReturnPeriod) < since
+}
+
+// Pause records that a server asked for no requests until a time, and reports whether it
+// was not paused before. A shorter pause does not end a longer one.
+func (p *Placer) Pause(s membership.Server, until time.Time) (begins bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := p.node(&s)
+	begins = !n.isPaused(time.Now())
+	if until.After(n.pauseUntil) {
+		n.pauseUntil = until
+	}
+	return begins
+}
+
+// Availability tells whether one of several servers may be chosen.
+type Availability struct {
+	Available bool
+	// PausedUntil is when the first of the servers that asked for a pause may be chosen
+	// again, zero if none asked.
+	PausedUntil time.Time
+}
+
+// Availability returns whether one of the servers that have not been tried may be chosen.
+func (p *Placer) Availability(servers []membership.Server, tried []string) Availability {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var a Availability
+	for i := range servers {
+		if contains(tried, servers[i].ID) {
+			continue
+		}
+		n := p.node(&servers[i])
+		if !n.isPaused(now) {
+			return Availability{Available: true}
+		}
+		if a.PausedUntil.IsZero() || n.pauseUntil.Before(a.PausedUntil) {
+			a.PausedUntil = n.pauseUntil
+		}
+	}
+	return a
+}
+
 // isAvoided reports whether a server gets requests only if there is no other.
 func (n *node) isAvoided(now time.Time) bool {
 	return n.replaced || now.Before(n.avoidUntil)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -169,6 +169,7 @@
 		listenAddresses: map[*http.Server]net.Addr{},
 		serveErrors:     make(chan error, 3),
 	}
+	r.pool.Observe(&serverObserver{servers: r.servers, placer: r.placer, log: r.log})
 	r.settings = &settingsSink{decoder: o.Decoder, log: r.log, onChange: func(*catalog.Settings) {}}
 	r.settings.watcher = watch.New(log, o.StreamSettings, r.settings, settingsTiming, logger)
 	r.serverWatcher = watch.New(log, o.StreamServers, &serverSink{decoder: o.Decoder, table: r.servers}, serversTiming, logger)
--- a/internal/entry/sinks.go
+++ b/internal/entry/sinks.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/camphorlever/camphorlever/internal/affinity"
 	"github.com/camphorlever/camphorlever/internal/catalog"
 	"github.com/camphorlever/camphorlever/internal/logservice"
 	"github.com/camphorlever/camphorlever/internal/membership"
@@ -96,3 +97,22 @@
 
 // SetReachable implements watch.Sink.
 func (s *serverSink) SetReachable(ok bool) { s.table.SetReachable(ok) }
+
+// serverObserver passes on what servers say of themselves in their responses.
+type serverObserver struct {
+	servers *membership.Table
+	placer  *affinity.Placer
+	log     zerolog.Logger
+}
+
+// ServerLeaving implements upstream.Observer.
+func (o *serverObserver) ServerLeaving(server membership.Server) { o.servers.MarkLeaving(server) }
+
+// ServerPaused implements upstream.Observer.
+func (o *serverObserver) ServerPaused(server membership.Server, until time.Time) {
+	if !o.placer.Pause(server, until) {
+		return // requests that were in flight are turned away too
+	}
+	o.log.Info().Str("server", server.ID).Str("address", server.Address).Dur("for", time.Until(until)).
+		Msg("backend server asked for a pause")
+}
--- a/internal/filter/forward/handler.go
+++ b/internal/filter/forward/handler.go
@@ -179,31 +179,17 @@
 		return "answer_began"
 	case (r.outcome == failed || r.outcome == failedByServer) && !p.Route.AllowsRerun():
 		return "may_have_run"
-	case !run.hasUntriedServer():
+	case !run.availability().Available:
 		return "no_other_server"
 	default:
 		return ""
 	}
 }
 
-// hasUntriedServer reports whether the service has a server that this request has
-// not tried yet.
-func (run *passthrough) hasUntriedServer() bool {
-	for _, s := range run.handler.Servers.ForService(run.passthrough.Service.Name) {
-		if !contains(run.tried, s.ID) {
-			return true
-		}
-	}
-	return false
-}
-
-func contains(list []string, id string) bool {
-	for _, s := range list {
-		if s == id {
-			return true
-		}
-	}
-	return false
+// availability returns whether the service has a server that this request has not tried
+// yet and that did not ask for a pause.
+func (run *passthrough) availability() affinity.Availability {
+	return run.handler.Placer.Availability(run.handler.Servers.ForService(run.passthrough.Service.Name), run.tried)
 }
 
 var outcomeNames = map[outcome]string{
@@ -221,7 +207,20 @@
 	if run.passthrough.MayHaveRun {
 		return run.outcomeUnknown("No other server is left.")
 	}
-	return refuseNotRun(refusal.NoServer, "No server of the service can take the request.")
+	return run.refuseWithoutServer(refusal.NoServer, "No server of the service can take the request.")
+}
+
+// refuseWithoutServer refuses a request that no server has executed. If all servers asked
+// for a pause, callers are told to come back over the time in which the servers return.
+func (run *passthrough) refuseWithoutServer(code refusal.Code, message string) filter.Outcome {
+	a := run.handler.Placer.Availability(run.handler.Servers.ForService(run.passthrough.Service.Name), nil)
+	if a.Available || a.PausedUntil.IsZero() {
+		return refuseNotRun(code, message)
+	}
+	run.handler.counters.Inc("servers_paused")
+	out := filter.Refused(refusal.Overloaded, refusal.NotRun, "The servers asked for a pause.")
+	out.Refusal.RetryAfter = time.Until(a.PausedUntil) + rand.N(affinity.ReturnPeriod)
+	return out
 }
 
 // finalOutcome returns the outcome of a request after its last attempt.
@@ -247,7 +246,7 @@
 		out.Refusal.RetryAfter = 0 // other servers are not affected, the caller can retry at once
 		return out
 	case r.outcome == notExecuted:
-		return refuseNotRun(refusal.Overloaded, "The servers are full.")
+		return run.refuseWithoutServer(refusal.Overloaded, "The servers are full.")
 	default:
 		return refuseNotRun(refusal.NoServer, "No server could be reached.")
 	}
--- a/internal/membership/publish.go
+++ b/internal/membership/publish.go
@@ -28,7 +28,7 @@
 func (t *Table) publishServer(next *revision, id string) bool {
 	e := t.entries[id]
 	current := e.server
-	usable := !e.removed && !current.Draining
+	usable := !e.removed && !current.Draining && !e.leaving
 	previous, listed := t.published[id]
 	if listed && (!usable || previous.Service != current.Service) {
 		next.remove(previous)
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -47,6 +47,7 @@
 	removed   bool      // the id has no server that may be used
 	removedAt time.Time // when it was removed
 	lapsedAt  time.Time // when its entry was removed while the store was unstable; zero if the entry is valid
+	leaving   bool      // the incarnation has said in a response that it will stop
 }
 
 // New returns an empty table.
@@ -101,7 +102,7 @@
 	if e == nil || !e.server.SameIncarnation(s) {
 		return true
 	}
-	return e.removed && !e.server.Draining
+	return e.removed && !e.server.Draining && !e.leaving
 }
 
 // Update is the content of the entry of one server.
@@ -164,7 +165,8 @@
 		t.events.Inc("entry_repeated")
 		return
 	}
-	t.entries[s.ID] = &entry{server: s}
+	leaving := previous != nil && previous.leaving && previous.server.SameIncarnation(s)
+	t.entries[s.ID] = &entry{server: s, leaving: leaving}
 	t.unpublished[s.ID] = struct{}{}
 	if t.bulkLoad {
 		return
@@ -175,12 +177,31 @@
 	}
 }
 
+// MarkLeaving records that an incarnation of a server has said that it will stop. It gets no
+// new work, whatever its entries say later.
+func (t *Table) MarkLeaving(s Server) {
+	if !t.Usable(s) {
+		return // each of its responses says so
+	}
+	t.update(func() {
+		e := t.entries[s.ID]
+		if e == nil || e.leaving || !e.server.SameIncarnation(s) {
+			return
+		}
+		e.leaving = true
+		t.unpublished[s.ID] = struct{}{}
+		t.events.Inc("leaving_announced")
+		t.log.Info().Str("server", s.ID).Str("address", s.Address).Int64("born", s.StartedMS).
+			Bool("draining", e.server.Draining).Msg("server said in a response that it leaves")
+	})
+}
+
 func (t *Table) handleRemoval(id, reason string) {
 	e := t.entries[id]
 	if e == nil || e.removed {
 		return
 	}
-	if reason == "removed" && t.storeUnstable() && !e.server.Draining {
+	if reason == "removed" && t.storeUnstable() && !e.server.Draining && !e.leaving {
 		if e.lapsedAt.IsZero() {
 			e.lapsedAt = time.Now()
 			t.log.Info().Str("server", id).Msg("server entry was removed around an outage of the log; the server is kept for now")
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -197,3 +197,38 @@
 		table.Apply(Update{ID: s.ID, Server: &next})
 	}
 }
+
+// TestLeavingIncarnationStaysWithoutWork has a server say in a response that it leaves, and
+// its entries, older and newer ones, that it is ready.
+func TestLeavingIncarnationStaysWithoutWork(t *testing.T) {
+	table := newTable()
+	s := serverEntry(5)
+	table.Put(s)
+	table.MarkLeaving(modified(s, func(s *Server) { s.StartedMS-- }))
+	require.True(t, table.Usable(s), "another incarnation said so")
+	table.MarkLeaving(s)
+	require.False(t, table.Usable(s))
+	for _, sequence := range []int64{4, 5, 6, 7} {
+		table.Put(serverEntry(sequence))
+		require.False(t, table.Usable(s), "sequence %d", sequence)
+	}
+	table.Reset(Update{ID: s.ID, Server: &s})
+	require.False(t, table.Usable(s))
+	require.False(t, table.Ended(s))
+	table.Remove(s.ID)
+	require.False(t, table.Ended(s), "it said so")
+	next := modified(serverEntry(1), func(s *Server) { s.StartedMS++ })
+	table.Put(next)
+	require.True(t, table.Usable(next))
+}
+
+// TestLeavingServerIsNotKeptInAnOutage removes its entry while the log is unavailable.
+func TestLeavingServerIsNotKeptInAnOutage(t *testing.T) {
+	table := newTable()
+	s := serverEntry(5)
+	table.Put(s)
+	table.SetReachable(false)
+	table.MarkLeaving(s)
+	table.Remove(s.ID)
+	require.False(t, table.Known(s.ID))
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -67,7 +67,12 @@
 // mayCarry reports whether a response to an earlier request on the connection could not be
 // taken for one to the given attempt.
 func (c *conn) mayCarry(attempt string) bool {
-	return attempt != "" && !slices.Contains(c.carried, xxhash.Sum64String(attempt))
+	return attempt != "" && !c.hasCarried(attempt)
+}
+
+// hasCarried reports whether an attempt, one with an ID, was sent on the connection.
+func (c *conn) hasCarried(attempt string) bool {
+	return attempt != "" && slices.Contains(c.carried, xxhash.Sum64String(attempt))
 }
 
 // carry records an attempt. A connection is not reused after one without an ID, since its
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -111,12 +111,17 @@
 		}
 		info := p.parser.ParseResponse(response.StatusCode, response.Header)
 		if info.Attempt == req.Attempt {
+			p.notify(c.server, info, false)
 			return response, info, nil
 		}
 		c.notReusable = true
 		if info.Attempt == "" && !c.reused && skipped == 0 && info.NotExecuted {
+			p.notify(c.server, info, false)
 			return response, info, nil // the connection has carried no other request
 		}
+		if c.hasCarried(info.Attempt) {
+			p.notify(c.server, info, true)
+		}
 		p.events.Inc("answer_foreign")
 		if skipped >= maxMismatched || !c.discardResponse(response) {
 			return nil, ResponseInfo{}, errors.Wrapf(ErrResponseMismatch, "response names attempt %q, status %d", info.Attempt, response.StatusCode)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -41,8 +41,9 @@
 // Pool holds the idle connections to all servers. It is safe for concurrent
 // use.
 type Pool struct {
-	parser ResponseParser
-	events *counter.Set
+	parser   ResponseParser
+	observer Observer // nil if nobody is told
+	events   *counter.Set
 
 	mu   sync.Mutex                    // guards idle
 	idle map[serverIncarnation][]*conn // most recently used last
@@ -63,6 +64,25 @@
 	return &Pool{parser: parser, events: counter.NewSet("upstream"), idle: map[serverIncarnation][]*conn{}}
 }
 
+// Observe has the observer told what servers say. It must be called before the first
+// request.
+func (p *Pool) Observe(observer Observer) { p.observer = observer }
+
+// notify tells the observer what a response says of the server. A late response to an
+// earlier request on the connection may say that the server leaves, but its pause began at
+// an unknown time.
+func (p *Pool) notify(server membership.Server, info ResponseInfo, late bool) {
+	if p.observer == nil || info.WrongServer {
+		return
+	}
+	if info.Leaving {
+		p.observer.ServerLeaving(server)
+	}
+	if info.Pause > 0 && !late {
+		p.observer.ServerPaused(server, time.Now().Add(info.Pause))
+	}
+}
+
 // acquire returns an idle connection for a request, or a new one if none can be reused.
 // For a request that must not be sent twice it reuses only connections idle for at most
 // maxFreshIdle.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -42,6 +42,16 @@
 	FromServer  bool          // the response was written by a backend server, not by an intermediary
 	Encoded     bool          // the body has a content encoding, so it is not the body that the server wrote
 	KeepAlive   time.Duration // idle time that the server announces, zero if unknown
+	Leaving     bool          // the server will stop and wants no new requests
+	Pause       time.Duration // the server wants no requests for so long; zero if it does not say
+}
+
+// Observer is told what servers say of themselves in their responses.
+type Observer interface {
+	// ServerLeaving is called with a server that will stop.
+	ServerLeaving(server membership.Server)
+	// ServerPaused is called with a server that wants no requests until a time.
+	ServerPaused(server membership.Server, until time.Time)
 }
 
 // ResponseParser interprets response headers.
--- a/test/soak/guards_test.go
+++ b/test/soak/guards_test.go
@@ -39,7 +39,7 @@
 	},
 	{
 		name: "a leaving server gets nothing new", file: "internal/membership/publish.go",
-		line:    "usable := !e.removed && !current.Draining\n",
+		line:    "usable := !e.removed && !current.Draining && !e.leaving\n",
 		without: "usable := !e.removed\n",
 		faults:  []Fault{{At: 500, Kind: leave}, {At: 3500, For: 4000, Kind: logFault, Way: "503"}},
 	},
