--- a/internal/filter/forward/handler.go
+++ b/internal/filter/forward/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,8 +11,6 @@
 	"github.com/camphorlever/camphorlever/internal/affinity"
 	"github.com/camphorlever/camphorlever/internal/catalog"
 	"github.com/camphorlever/camphorlever/internal/filter"
-	quarantinefilter "github.com/camphorlever/camphorlever/internal/filter/quarantine"
-	"github.com/camphorlever/camphorlever/internal/membership"
 	"github.com/camphorlever/camphorlever/internal/quarantine"
 	"github.com/camphorlever/camphorlever/internal/refusal"
 )
@@ -117,27 +114,6 @@
 	quarantine *quarantine.Attempt // the present attempt, or the last one
 }
 
-var errQuarantined = errors.New("a part of the prompt crashes servers")
-
-// startAttempt registers an attempt with the quarantine, which may cancel it with cancel.
-func (run *passthrough) startAttempt(placed *affinity.Placement, cancel context.CancelCauseFunc) quarantine.Verdict {
-	attempt, verdict := run.handler.Quarantine.Start(placed.Server, run.passthrough.SharedParts, run.quarantine,
-		func() { cancel(errQuarantined) })
-	if !verdict.Blocked {
-		run.quarantine = attempt
-	}
-	return verdict
-}
-
-// withheld ends a request that must not be sent any more. Earlier attempts may have run.
-func (run *passthrough) withheld(ctx context.Context, verdict quarantine.Verdict, last result) filter.Outcome {
-	out := quarantinefilter.Refuse(run.request, verdict)
-	if run.passthrough.MayHaveRun || run.request.Writer.Started() {
-		return run.finalOutcome(ctx, last)
-	}
-	return out
-}
-
 // mayRetry reports whether the request may be retried on another server, and
 // logs the decision.
 func (run *passthrough) mayRetry(ctx context.Context, r result, allowedByBudget func() bool) bool {
@@ -310,23 +286,6 @@
 	})
 }
 
-// recordForQuarantine reports the result of an attempt to the quarantine.
-func (run *passthrough) recordForQuarantine(ctx context.Context, server membership.Server, sentAt time.Time, result result) {
-	attempt := run.quarantine
-	switch {
-	case errors.Is(result.cause, errServerReplaced) || errors.Is(result.cause, syscall.ECONNREFUSED):
-		attempt.End()
-		run.handler.Quarantine.ServerCrashed(server)
-	case (result.outcome == failed || result.outcome == cutOff) && !errors.Is(result.cause, errCallerDisconnected):
-		attempt.Broke(ctx.Err() == nil)
-	case result.outcome == delivered || result.outcome == failedByServer || result.outcome == notExecuted:
-		attempt.End()
-		run.handler.Quarantine.ServerAlive(server, sentAt)
-	default:
-		attempt.End()
-	}
-}
-
 // Limits on the prompt parts in a log line, since callers choose their number and
 // the length of their IDs.
 const (
--- a/internal/filter/forward/stream.go
+++ b/internal/filter/forward/stream.go
@@ -70,7 +70,8 @@
 			e.Close(false)
 			return run.unusableResponse(ctx, errOutOfOrder)
 		}
-		if received += eventstream.CountEvents(events); received >= provingEvents {
+		before := received
+		if received += eventstream.CountEvents(events); before < provingEvents && received >= provingEvents {
 			run.quarantine.Answered()
 		}
 		unsentEvents, err := run.unsentEvents(events)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -9,6 +9,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -210,7 +211,7 @@
 func (t *Tracker) explain(s *suspect, parts []string) explanation {
 	result := unexplained
 	for _, other := range t.quarantined {
-		if other == s || contains(parts, other.evidence.Part) || !other.evidence.covers(&s.evidence) {
+		if other == s || slices.Contains(parts, other.evidence.Part) || !other.evidence.covers(&s.evidence) {
 			continue
 		}
 		if len(other.evidence.Crashes) > len(s.evidence.Crashes) {
@@ -221,15 +222,6 @@
 	return result
 }
 
-func contains(list []string, item string) bool {
-	for _, other := range list {
-		if other == item {
-			return true
-		}
-	}
-	return false
-}
-
 // Merge adds evidence from another router.
 func (t *Tracker) Merge(evidence ...Evidence) {
 	now := time.Now()
