Soak: workers that ask for a pause and that say they leave

One seed in eight has both besides its drawn faults; the schedules of all other seeds stay as they were. Promises: a router sends a worker at most two requests in a pause that it asked that router for, from half a second on; nothing that a caller sent later than the time to drain after the router passed on that the worker leaves.

--- a/test/soak/guards_test.go
+++ b/test/soak/guards_test.go
@@ -60,6 +60,18 @@
 		without: "	if true {\n",
 		faults:  []Fault{{At: 500, For: 6500, Kind: deadly}},
 	},
+	{
+		name: "a server that asks for a pause gets nothing", file: "internal/affinity/affinity.go",
+		line: "			if n.isPaused(now) {\n				continue\n			}\n",
+		faults: []Fault{{At: 500, For: 4000, N: 0, Kind: grey, Way: "pause"}, {At: 500, For: 4000, N: 1, Kind: grey, Way: "pause"},
+			{At: 500, For: 4000, N: 2, Kind: grey, Way: "pause"}, {At: 500, For: 4000, N: 3, Kind: grey, Way: "pause"}},
+	},
+	{
+		name: "a server that says that it leaves gets nothing new", file: "internal/entry/sinks.go",
+		line:    "{ o.servers.MarkLeaving(server) }",
+		without: "{}",
+		faults:  []Fault{{At: 300, For: 7000, N: 2, Kind: grey, Way: "say-leaving"}},
+	},
 }
 
 // seedsEach is how many seeds look for a guard that is missing.
--- a/test/soak/promises_test.go
+++ b/test/soak/promises_test.go
@@ -35,6 +35,13 @@
 	recovering time.Time
 	crashes    []time.Time          // because of the deadly prompt part
 	deadly     map[string]time.Time // when requests with it reached workers, by attempt
+	pauses     []turnedAway
+}
+
+// turnedAway is a request that a worker turned away, asking for a pause.
+type turnedAway struct {
+	attempt, worker string
+	at, till        time.Time
 }
 
 func newNotes() *notes {
@@ -97,6 +104,12 @@
 	n.deadly[attempt] = at
 }
 
+func (n *notes) turnedAway(attempt, worker string, pause time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.pauses = append(n.pauses, turnedAway{attempt: attempt, worker: worker, at: time.Now(), till: time.Now().Add(pause)})
+}
+
 func (n *notes) recoveryBegins(at time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -133,6 +146,7 @@
 	out = append(out, n.checkAnswers(runs)...)
 	out = append(out, n.checkTimeouts()...)
 	out = append(out, n.checkDeadlyPart()...)
+	out = append(out, n.checkNotices(runs)...)
 	return append(out, n.checkRecovery()...)
 }
 
@@ -310,6 +324,55 @@
 	return out
 }
 
+// Bounds on what a worker may get after it has asked for a pause.
+const (
+	pauseGrace       = 500 * time.Millisecond // for what is on its way
+	sendsDuringPause = 2
+)
+
+// checkNotices: a router sends a worker that asked it for a pause next to nothing, and one
+// that said to it that it leaves nothing that comes after the time to drain.
+func (n *notes) checkNotices(runs map[string][]run) (out []string) {
+	asked := map[string]*request{}
+	for _, q := range n.requests {
+		asked[q.attempt] = q
+	}
+	for _, first := range n.pauses {
+		q, sends := asked[first.attempt], 0
+		if q == nil || !n.calm(q.router, first.at, first.till) {
+			continue
+		}
+		reached := func(attempt, worker string, at time.Time) {
+			if other := asked[attempt]; other != nil && other.router == q.router && worker == first.worker &&
+				at.After(first.at.Add(pauseGrace)) && at.Before(first.till) {
+				sends++
+			}
+		}
+		for _, p := range n.pauses {
+			reached(p.attempt, p.worker, p.at)
+		}
+		for _, r := range n.runList {
+			reached(r.attempt, r.worker, r.at)
+		}
+		if sends > sendsDuringPause {
+			out = append(out, fmt.Sprintf("worker %s got %d requests of router-%d in a pause", first.worker, sends, q.router))
+		}
+	}
+	for _, q := range n.requests {
+		if !standin.SaysLeaving(q.header) || len(runs[q.attempt]) != 1 {
+			continue
+		}
+		worker := runs[q.attempt][0].worker
+		for _, r := range n.runList {
+			if other := asked[r.attempt]; other != nil && r.worker == worker && other.router == q.router &&
+				other.sent.After(q.ended.Add(drainTimeout)) && n.calm(q.router, q.ended, r.at) {
+				out = append(out, fmt.Sprintf("%s reached worker %s, which had said to router-%d that it leaves", r.attempt, worker, q.router))
+			}
+		}
+	}
+	return out
+}
+
 // checkRecovery: when all troubles are over, nine in ten of the requests that
 // need no tokens are served.
 func (n *notes) checkRecovery() (out []string) {
--- a/test/soak/schedule_test.go
+++ b/test/soak/schedule_test.go
@@ -71,9 +71,13 @@
 var kinds = []Kind{kill, kill, killAll, pause, pause, stop, reload, logCut, logReset, logDelay, logFault, logFault, logFault, forget,
 	workerCut, crash, leave, leave, reuse, grey, grey, topUp, revoke, foreign, impatience}
 
-// deadlyEvery: one of so many seeds has a deadly prompt part. It is not one of kinds, so
-// that the schedules of other seeds stay as they were.
-const deadlyEvery = 4
+// One of so many seeds has a deadly prompt part, or workers that ask for a pause and say
+// that they leave. These are not among kinds, so that the schedules of other seeds stay as
+// they were.
+const (
+	deadlyEvery  = 4
+	noticesEvery = 8
+)
 
 // draw makes the schedule of a seed: single faults, series of one kind, and
 // overlaps.
@@ -101,6 +105,12 @@
 		at := r.IntN(faultsTill / 3)
 		s.Faults = append(s.Faults, Fault{At: at, Kind: deadly, For: faultsTill - at})
 	}
+	if seed%noticesEvery == noticesEvery-3 {
+		at := r.IntN(faultsTill / 2)
+		s.Faults = append(s.Faults,
+			Fault{At: at, Kind: grey, Way: "pause", N: 1, For: 2000},
+			Fault{At: at + 500, Kind: grey, Way: "say-leaving", N: 2, For: 3000})
+	}
 	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return a.At - b.At })
 	return s
 }
--- a/test/soak/workers_test.go
+++ b/test/soak/workers_test.go
@@ -20,6 +20,7 @@
 	eventGap       = 4 * time.Millisecond
 	workTime       = 15 * time.Millisecond
 	deadlyPart     = "dead" // crashes workers
+	pauseFor       = 1500 * time.Millisecond
 )
 
 func (w *worker) setGrey(way string) {
@@ -42,6 +43,11 @@
 		say(conn, standin.NotExecutedResponse(sent.AttemptID))
 		return
 	}
+	if grey == "pause" {
+		n.turnedAway(sent.AttemptID, id, pauseFor)
+		say(conn, standin.PauseResponse(sent.AttemptID, pauseFor))
+		return
+	}
 	n.runs(run{attempt: sent.AttemptID, account: sent.Account, worker: id, service: w.service, path: r.URL.Path, at: time.Now()})
 	_, events := parsePath(r.URL.Path)
 	if slices.Contains(sent.PromptParts, deadlyPart) {
@@ -82,6 +88,8 @@
 		_ = conn.Close()
 	case "extra":
 		say(conn, answer+standin.CompleteResponse(attempt, http.StatusOK, "evil"))
+	case "say-leaving":
+		say(conn, standin.Leaving(answer))
 	default:
 		say(conn, answer)
 	}
@@ -89,7 +97,11 @@
 
 // stream sends the events after the one that the caller has.
 func stream(conn net.Conn, sent standin.ForwardedRequest, events int, grey string) {
-	say(conn, standin.StreamResponseHead(sent.AttemptID))
+	head := standin.StreamResponseHead(sent.AttemptID)
+	if grey == "say-leaving" {
+		head = standin.Leaving(head)
+	}
+	say(conn, head)
 	for i := sent.LastEventID + 1; i <= events; i++ {
 		time.Sleep(eventGap)
 		if grey == "cut-stream" && i > sent.LastEventID+2 {
