quarantine: tests of two rules whose removal no test noticed

Nineteen rules were taken out one by one on a scratch copy. Seventeen were noticed; these two were not: a crash during an answer that has begun does not count, and an entry that is removed from the log is written again. Both removals fail the new tests.

--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -127,6 +127,20 @@
 	})
 }
 
+// TestCrashDuringAnAnswerDoesNotCount has the answers begin long before the crashes.
+func TestCrashDuringAnAnswerDoesNotCount(t *testing.T) {
+	test(t, func(t *testing.T, tracker *Tracker) {
+		for n := range 3 {
+			attempt := start(t, tracker, n, "a")
+			attempt.Answered()
+			time.Sleep(2 * provenPeriod)
+			attempt.Broke(false)
+			tracker.ServerCrashed(testServer(n))
+		}
+		require.Empty(t, tracker.suspects)
+	})
+}
+
 // TestBrokenAnswersOfLiveServersDoNotCount plays servers that cut answers off.
 func TestBrokenAnswersOfLiveServersDoNotCount(t *testing.T) {
 	test(t, func(t *testing.T, tracker *Tracker) {
@@ -295,6 +309,27 @@
 	})
 }
 
+// TestEntryOfAPartInQuarantineIsWrittenAgain removes it from the log.
+func TestEntryOfAPartInQuarantineIsWrittenAgain(t *testing.T) {
+	for name, remove := range map[string]func(*Tracker){
+		"removal": func(tracker *Tracker) { tracker.Apply([]logservice.KeyedEntry{{Key: "p"}}) },
+		"reload":  func(tracker *Tracker) { tracker.Reset(nil) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			test(t, func(t *testing.T, tracker *Tracker) {
+				tracker.Merge(Evidence{Part: "p", Crashes: []Crash{{"s1", 1, 1}, {"s2", 1, 2}}})
+				time.Sleep(time.Second)
+				entries := tracker.dueEntries()
+				require.Len(t, entries, 1)
+				tracker.Apply(entries)
+				remove(tracker)
+				time.Sleep(time.Second)
+				require.Len(t, tracker.dueEntries(), 1)
+			})
+		})
+	}
+}
+
 func TestSharedPartsOfAPrompt(t *testing.T) {
 	long := strings.Repeat("x", 100)
 	require.Nil(t, Parts(nil))
