e2e: a port that was found free is not held open by a program being started

Cause: freePort listens, closes and returns the port; a program that another test starts at that moment has a copy of the listener until its exec, so the port stays in use. Change: freePort holds ForkLock, which starting a program takes exclusively until its exec. The product is not concerned: it starts no programs.

--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -63,6 +63,9 @@
 // freePort returns an address on which nothing listens.
 func freePort(t *testing.T) string {
 	t.Helper()
+	// A program that is started meanwhile would hold the listener open for a moment.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	for range lastPort - firstPort {
 		n := firstPort + int(port.Add(1))%(lastPort-firstPort)
 		address := host() + ":" + strconv.Itoa(n)
