--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -10,7 +10,7 @@
 )
 
 // gossipFanout is how many routers each router tells what is new to it. In a fleet of
-// hundreds, nearly all learn it within three rounds of calls.
+// hundreds, nearly all learn it within four rounds of calls.
 const gossipFanout = 8
 
 // EvidenceArgs is evidence against prompt parts that another router sends.
