review: sound prompts withheld for minutes (case 1)

A refuted crash stays in the evidence against a prompt part, so a part of sound prompts is withheld for 10 to 20 minutes.

--- /dev/null
+++ b/review/standin/main.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// maxDuration is when a case that has not ended is given up.
+const maxDuration = 110 * time.Second
+
+// cases are the scripts of the review by name. A case returns whether the rule was
+// broken, or an error if it could not run.
+var cases = map[string]func(*world) (bool, error){
+	"withheld":    soundPartWithheld,
+	"long-prompt": longPromptCrashes,
+	"dark":        darkCrashes,
+	"stop":        stopLongAfterShort,
+	"half-close":  halfClose,
+}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
+		os.Exit(exitNotRun)
+	}
+	os.Exit(play(cases[os.Args[1]], os.Args[2]))
+}
+
+func play(run func(*world) (bool, error), folder string) int {
+	rec, err := newRecord(filepath.Join(folder, "record.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "record:", err)
+		return exitNotRun
+	}
+	defer rec.file.Close()
+	w, err := newWorld(rec)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "world:", err)
+		return exitNotRun
+	}
+	defer w.close()
+	time.AfterFunc(maxDuration, func() {
+		w.add("the case takes too long")
+		w.close()
+		os.Exit(exitNotRun)
+	})
+	broken, err := run(w)
+	switch {
+	case err != nil:
+		w.add("the case could not run: %v", err)
+		fmt.Fprintln(os.Stderr, "the case could not run:", err)
+		return exitNotRun
+	case broken:
+		w.add("result: the rule was broken")
+		return exitBroken
+	default:
+		w.add("result: the rule held")
+		return exitHeld
+	}
+}
