--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -10,13 +10,16 @@
 // maxDuration is when a case that has not ended is given up.
 const maxDuration = 110 * time.Second
 
-// cases are the scripts of the review by name. A case returns whether the rule was
-// broken, or an error if it could not run.
+// cases are the scripts of the review by name; the last three show what REPORT.md lists as
+// seen without a case. Each returns whether the rule was broken, or an error if it could
+// not run.
 var cases = map[string]func(*world) (bool, error){
 	"withheld":    soundPartWithheld,
 	"long-prompt": longPromptCrashes,
 	"dark":        darkCrashes,
 	"stop":        stopLongAfterShort,
+	"own-failure": ownFailure,
+	"preempted":   preemptedStreams,
 	"half-close":  halfClose,
 }
 
--- a/review/standin/tainted.go
+++ b/review/standin/tainted.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -146,6 +147,7 @@
 	defer f.setRunning(attempt, false)
 	time.Sleep(150 * time.Millisecond)
 	if f.deadly && strings.Contains(r.Header.Get("X-Camphorlever-Prompt-Prefix"), taintedPart) {
+		f.beginAnswer(conn, attempt)
 		f.crash("it began to write an answer to " + attempt)
 		f.awaitPower()
 		return
@@ -169,6 +171,25 @@
 	_, _ = io.WriteString(conn, standin.FinalChunk)
 }
 
+// beginAnswer writes the first EVENTS events of an answer, none by default; with UNFRAMED set
+// the answer has neither a length nor chunks.
+func (f *fragileWorker) beginAnswer(conn net.Conn, attempt string) {
+	events, err := strconv.Atoi(os.Getenv("EVENTS"))
+	if err != nil || events <= 0 {
+		return
+	}
+	head, frame := standin.StreamResponseHead(attempt), standin.Chunk
+	if os.Getenv("UNFRAMED") != "" {
+		head = standin.ResponseHead(attempt, http.StatusOK, "Content-Type: text/event-stream\r\n\r\n")
+		frame = func(event string) string { return event }
+	}
+	for id := 1; id <= events; id++ {
+		head += frame(standin.FormatEvent(id, "text"))
+	}
+	_, _ = io.WriteString(conn, head) // the worker crashes in either case
+	time.Sleep(10 * time.Millisecond)
+}
+
 // prompt sends a generation on a new connection and returns its status, 0 if there was no
 // complete answer.
 func (r *router) prompt(attempt string, shared ...string) int {
