--- a/review/standin/longprompt.go
+++ b/review/standin/longprompt.go
@@ -24,7 +24,7 @@
 // darkCrashes sends generations with a tainted part, at which workers fall silent until
 // they start again.
 func darkCrashes(w *world) (bool, error) {
-	return repeatedCrashes(w, 1, 14, 3300*time.Millisecond, os.Getenv("DARK") != "0")
+	return repeatedCrashes(w, 1, 14, 3600*time.Millisecond, os.Getenv("DARK") != "0")
 }
 
 // repeatedCrashes sends tainted and sound generations, whose prompts have a number of parts
@@ -78,16 +78,11 @@
 	}
 	close(stop)
 	all.Wait()
-	crashes, late := 0, 0
-	var fifth time.Time
-	for _, f := range workers {
-		crashes += len(f.crashTimes())
+	crashes, late := crashTimesOf(workers), 0
+	if len(crashes) >= 5 {
+		late = arrivals.after(crashes[4].Add(settleWindow))
 	}
-	if crashes >= 5 {
-		fifth = fifthCrash(workers)
-		late = arrivals.after(fifth.Add(settleWindow))
-	}
-	w.add("%d crashes; %d of %d sound requests failed", crashes, cut.Load(), sound.Load())
+	w.add("%d crashes; %d of %d sound requests failed", len(crashes), cut.Load(), sound.Load())
 	w.add("%d requests with the tainted part reached workers later than settle_window_ms after the fifth crash", late)
 	return late > 3, nil
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 	"own-failure": ownFailure,
 	"preempted":   preemptedStreams,
 	"half-close":  halfClose,
+	"late-entry":  lateEntry,
 }
 
 func main() {
--- a/review/standin/tainted.go
+++ b/review/standin/tainted.go
@@ -22,6 +22,8 @@
 	taintedPart = "dead0bad" // crashes each worker that begins to write an answer on it
 	// restartAfter is how long a worker is down after a crash.
 	restartAfter = 3 * time.Second
+	// firstEventAfter is how long a worker works on a prompt before its first event.
+	firstEventAfter = 300 * time.Millisecond
 )
 
 // callerPatience is how long callers wait for a stream: eight times its gap_target_ms.
@@ -111,14 +113,14 @@
 	return slices.Clone(f.crashes)
 }
 
-// fifthCrash returns when the fifth crash of all workers was.
-func fifthCrash(workers []*fragileWorker) time.Time {
+// crashTimesOf returns when workers crashed, in order.
+func crashTimesOf(workers []*fragileWorker) []time.Time {
 	var times []time.Time
 	for _, f := range workers {
 		times = append(times, f.crashTimes()...)
 	}
 	slices.SortFunc(times, time.Time.Compare)
-	return times[4]
+	return times
 }
 
 // begun reports whether the worker has begun an attempt and written no event of it.
@@ -145,7 +147,7 @@
 	}
 	f.setRunning(attempt, true)
 	defer f.setRunning(attempt, false)
-	time.Sleep(150 * time.Millisecond)
+	time.Sleep(firstEventAfter)
 	if f.deadly && strings.Contains(r.Header.Get("X-Camphorlever-Prompt-Prefix"), taintedPart) {
 		f.beginAnswer(conn, attempt)
 		f.crash("it began to write an answer to " + attempt)
@@ -273,7 +275,7 @@
 	time.Sleep(lull)
 	var all sync.WaitGroup
 	all.Go(func() { r.prompt("in-flight", soundPart) })
-	time.Sleep(60 * time.Millisecond)
+	time.Sleep(firstEventAfter / 2)
 	if w.trouble && os.Getenv("OWN_CRASH") != "0" {
 		for _, f := range workers {
 			if f.begun("in-flight") {
@@ -282,6 +284,9 @@
 		}
 	}
 	all.Wait()
+	if crashed := len(crashTimesOf(workers)); w.trouble && os.Getenv("OWN_CRASH") != "0" && crashed != 1 {
+		return false, fmt.Errorf("%d workers crashed for a reason of their own, 1 should have", crashed)
+	}
 	time.Sleep(restartAfter + time.Second)
 	between := r.sound("between", 8, 250*time.Millisecond)
 	w.add("%d of 8 sound requests were served after the first crash", between)
