entry: log the end of each request that was admitted late in a stop

A late request that was simply answered left no line, so the log could not tell it from one that was lost. The line says the outcome, whether the request was aborted and the time left; counters admitted_late, refused_late and aborted_late count them. A process that is held up while it stops says so, since it reads no requests meanwhile.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -27,6 +27,8 @@
 	abortFraction = 0.95
 	// idlePollPeriod is how often a stop checks for requests in progress.
 	idlePollPeriod = 20 * time.Millisecond
+	// minReportedDelay is how late the process must run for that to be logged.
+	minReportedDelay = 150 * time.Millisecond
 	// releaseTimeout bounds the return of local balances; a slow log takes
 	// about 300 ms for each call.
 	releaseTimeout = 1100 * time.Millisecond
@@ -46,6 +48,9 @@
 	}
 	r.stopping.Store(true)
 	r.log.Info().Int64("active", r.activeRequests.Load()).Msg("router is stopping")
+	stopped := make(chan struct{})
+	defer close(stopped)
+	go r.reportDelays(stopped)
 	admitAll := min(time.Duration(admitAllFraction*float64(r.options.GracePeriod)), maxAdmitAll)
 	r.stopFilter.beginStop(begun.Add(admitAll), timeAt(abortFraction))
 	time.Sleep(time.Until(timeAt(minStopFraction)))
@@ -66,6 +71,22 @@
 	r.log.Info().Dur("took", time.Since(begun)).Msg("router stopped")
 }
 
+// reportDelays logs that the process was held up, until stopped is closed. Requests that
+// come meanwhile are not read.
+func (r *Router) reportDelays(stopped <-chan struct{}) {
+	for {
+		due := time.Now().Add(idlePollPeriod)
+		select {
+		case <-stopped:
+			return
+		case <-time.After(idlePollPeriod):
+		}
+		if late := time.Since(due); late > minReportedDelay {
+			r.log.Warn().Dur("late", late).Int64("active", r.activeRequests.Load()).Msg("process was held up while the router stops")
+		}
+	}
+}
+
 // waitIdle waits until no request is in progress, but not beyond limit.
 func (r *Router) waitIdle(limit time.Time) {
 	for r.activeRequests.Load() > 0 && time.Now().Before(limit) {
--- a/internal/entry/stopfilter.go
+++ b/internal/entry/stopfilter.go
@@ -6,8 +6,10 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/camphorlever/camphorlever/internal/counter"
 	"github.com/camphorlever/camphorlever/internal/filter"
 	"github.com/camphorlever/camphorlever/internal/refusal"
 )
@@ -17,7 +19,8 @@
 // callers cannot move to another one: short requests are still served until
 // shortly before the end.
 type stopFilter struct {
-	log zerolog.Logger
+	log    zerolog.Logger
+	events *counter.Set
 
 	mu         sync.Mutex // guards all below
 	durations  *durationEstimator
@@ -35,7 +38,7 @@
 )
 
 func newStopFilter(log zerolog.Logger) *stopFilter {
-	return &stopFilter{log: log, durations: newDurationEstimator()}
+	return &stopFilter{log: log, events: counter.NewSet("stop"), durations: newDurationEstimator()}
 }
 
 // beginStop sets the time from which requests may be refused, and the time at
@@ -48,13 +51,17 @@
 
 // Handle implements filter.Filter.
 func (l *stopFilter) Handle(ctx context.Context, r *filter.Request, next filter.Next) filter.Outcome {
-	if d := l.decide(r.Passthrough, time.Now()); d.late {
+	d := l.decide(r.Passthrough, time.Now())
+	if d.late {
 		l.recordDecision(r, d)
 		if !d.admitted {
 			return refuseWithRetryAfter(refusal.Stopping, "The router is being stopped.", stoppingRetryAfter)
 		}
 	}
 	out := next(ctx, r)
+	if d.late {
+		l.recordEnd(ctx, r, out)
+	}
 	if out.Refusal == nil && r.Writer.Status < http.StatusMultipleChoices {
 		l.recordDuration(r.Passthrough, time.Since(r.Received))
 	}
@@ -96,14 +103,33 @@
 		e.Dur("duration", d.duration).Bool("estimated", d.estimated).Dur("time_left", d.timeLeft).Int64("max_events", maxEvents(r.Passthrough))
 	}
 	if !d.admitted {
+		l.events.Inc("refused_late")
 		r.Note("request would not end before the router stops", fields)
 		return
 	}
+	l.events.Inc("admitted_late")
 	event := l.log.Info().Str("request", r.Passthrough.Call.Attempt).Dur("at", time.Since(r.Received)).Str("route", r.Passthrough.Route.Name)
 	fields(event)
 	event.Msg("request admitted late in a stop")
 }
 
+// recordEnd logs the end of a request that was admitted late, also if it was answered.
+func (l *stopFilter) recordEnd(ctx context.Context, r *filter.Request, out filter.Outcome) {
+	outcome := "answered"
+	if out.Refusal != nil {
+		outcome = string(out.Refusal.Code)
+	}
+	aborted := errors.Is(context.Cause(ctx), filter.ErrStopping)
+	if aborted {
+		l.events.Inc("aborted_late")
+	}
+	l.mu.Lock()
+	timeLeft := time.Until(l.abortAt)
+	l.mu.Unlock()
+	l.log.Info().Str("request", r.Passthrough.Call.Attempt).Dur("at", time.Since(r.Received)).Str("outcome", outcome).
+		Int("status_sent", r.Writer.Status).Bool("aborted", aborted).Dur("time_left", timeLeft).Msg("request admitted late in a stop has ended")
+}
+
 // recordDuration records how long a request was in progress that was answered.
 func (l *stopFilter) recordDuration(p *filter.Passthrough, duration time.Duration) {
 	l.mu.Lock()
