entry: a stopping router takes late only what is certain to end

After a third of the grace period requests were admitted by an estimate of their duration from those before, with a margin of 1.5. A server may take longer than ever before, so an estimate carries no promise; two earlier faults came from it as well.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -13,7 +13,7 @@
 	// admitAllFraction is how long all requests are admitted. The platform
 	// takes the router out of service after two readiness probes, a second
 	// apart, and callers may still connect until then. Afterwards only requests
-	// that will probably end in time are admitted.
+	// that are certain to end in time are admitted.
 	admitAllFraction = 0.33
 	// maxAdmitAll is the longest time for which all requests are admitted,
 	// however long the grace period is.
