--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -103,8 +103,9 @@
 	DataCentre         string
 	CallersAddress     string
 	ReadyAddress       string
-	PeerAddress        string // of the listener for calls between routers
-	FleetKey           string // secret that calls between routers must carry
+	Listen             func(network, address string) (net.Listener, error) // intake.Listen if nil
+	PeerAddress        string                                              // of the listener for calls between routers
+	FleetKey           string                                              // secret that calls between routers must carry
 	PathReady          string
 	MetricsAddress     string            // empty: no metrics are served
 	LinkBytesPerSecond float64           // capacity of the VM's link in each direction; zero if unknown
@@ -361,7 +362,11 @@
 }
 
 func (r *Router) listen(server *http.Server, address string) error {
-	listener, err := intake.Listen("tcp4", address)
+	listen := r.options.Listen
+	if listen == nil {
+		listen = intake.Listen
+	}
+	listener, err := listen("tcp4", address)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", address)
 	}
