entry: a stop ends only after requests that wait unread are answered

The logs show the processes held up for 0.4 to 1.2 s until right before the end. Requests that came meanwhile waited on connections or to be accepted, the router counted those whose handlers ran, found none and closed the connections.

A stop now ends only once the process has run on time for 60 ms, by how late its own polls come, with no request in progress; after an abort up to 0.97 of the grace period. What was waiting is read within that time and gets 503. All requests are refused from the return of the tokens on, since they may need some, so none can be admitted between the last look for requests in progress and the abort.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -25,6 +25,13 @@
 	releaseFraction = 0.8
 	// abortFraction is when requests in progress are aborted.
 	abortFraction = 0.95
+	// closeFraction is when connections are closed even if requests may wait unread.
+	closeFraction = 0.97
+	// readPeriod is how long a process must run on time before it closes connections.
+	// After it was held up, it reads the requests that came meanwhile within this time.
+	readPeriod = 60 * time.Millisecond
+	// maxPollDelay is how late a poll may come in a process that runs on time.
+	maxPollDelay = 20 * time.Millisecond
 	// idlePollPeriod is how often a stop checks for requests in progress.
 	idlePollPeriod = 20 * time.Millisecond
 	// minReportedDelay is how late the process must run for that to be logged.
@@ -55,13 +62,15 @@
 	r.stopFilter.beginStop(begun.Add(admitAll), timeAt(abortFraction))
 	time.Sleep(time.Until(timeAt(minStopFraction)))
 	r.waitIdle(timeAt(releaseFraction))
+	r.stopFilter.refuseAllFromNow() // the tokens that requests may need are returned
 	r.releaseBalances(timeAt(abortFraction))
-	r.waitIdle(timeAt(abortFraction))
-	r.stopFilter.beginStop(begun, begun) // requests are refused from now on, since Shutdown may abort them
-	if active := r.activeRequests.Load(); active > 0 {
-		r.log.Warn().Int64("active", active).Msg("requests are aborted at the end of the grace period")
+	if !r.waitUnread(timeAt(abortFraction)) {
+		if active := r.activeRequests.Load(); active > 0 {
+			r.log.Warn().Int64("active", active).Msg("requests are aborted at the end of the grace period")
+		}
+		r.abortRequests(filter.ErrStopping)
+		r.waitUnread(timeAt(closeFraction))
 	}
-	r.abortRequests(filter.ErrStopping)
 	shutdownCtx, cancelShutdown := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancelShutdown()
 	if err := r.callerServer.Shutdown(shutdownCtx); err != nil {
@@ -94,6 +103,33 @@
 	}
 }
 
+// waitUnread waits until no request is in progress and those that came while the process was
+// held up have been read. It returns false if it reached limit.
+func (r *Router) waitUnread(limit time.Time) bool {
+	for onTime := newPunctuality(time.Now()); !onTime.poll(time.Now()) || r.activeRequests.Load() > 0; {
+		if !time.Now().Before(limit) {
+			return false
+		}
+		time.Sleep(idlePollPeriod)
+	}
+	return true
+}
+
+// punctuality records since when a process runs on time, by how late its polls come.
+type punctuality struct{ since, polledAt time.Time }
+
+func newPunctuality(now time.Time) *punctuality { return &punctuality{since: now, polledAt: now} }
+
+// poll is called every idlePollPeriod. It reports whether the process has run on time for
+// readPeriod.
+func (p *punctuality) poll(now time.Time) bool {
+	if now.Sub(p.polledAt) > idlePollPeriod+maxPollDelay {
+		p.since = now
+	}
+	p.polledAt = now
+	return now.Sub(p.since) >= readPeriod
+}
+
 // releaseBalances ends the budget tasks, returns the local balances and removes
 // this router from the peer set, as far as limit and releaseTimeout allow.
 func (r *Router) releaseBalances(limit time.Time) {
--- a/internal/entry/stopfilter.go
+++ b/internal/entry/stopfilter.go
@@ -24,6 +24,7 @@
 	mu         sync.Mutex // guards all below
 	refuseFrom time.Time  // until then all requests are admitted; zero if the router is not stopping
 	abortAt    time.Time  // when requests in progress are aborted
+	refuseAll  bool
 }
 
 const (
@@ -48,6 +49,13 @@
 	l.refuseFrom, l.abortAt = refuseFrom, abortAt
 }
 
+// refuseAllFromNow refuses all requests that it has not admitted yet.
+func (l *stopFilter) refuseAllFromNow() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refuseAll = true
+}
+
 // Handle implements filter.Filter. The body of the request has been read.
 func (l *stopFilter) Handle(ctx context.Context, r *filter.Request, next filter.Next) filter.Outcome {
 	d := l.decide(r.Passthrough.Deadline, time.Now())
@@ -77,11 +85,11 @@
 func (l *stopFilter) decide(deadline, now time.Time) stopDecision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.refuseFrom.IsZero() || now.Before(l.refuseFrom) {
+	if !l.refuseAll && (l.refuseFrom.IsZero() || now.Before(l.refuseFrom)) {
 		return stopDecision{admitted: true}
 	}
 	d := stopDecision{late: true, limit: deadline.Sub(now), timeLeft: l.abortAt.Sub(now)}
-	d.admitted = d.limit+answerAllowance <= d.timeLeft
+	d.admitted = !l.refuseAll && d.limit+answerAllowance <= d.timeLeft
 	return d
 }
 
