--- a/internal/entry/stopfilter.go
+++ b/internal/entry/stopfilter.go
@@ -74,10 +74,11 @@
 
 // stopDecision is whether a request is admitted while the router stops.
 type stopDecision struct {
-	late     bool // some requests are refused already
-	admitted bool
-	limit    time.Duration // until the deadline of the request
-	timeLeft time.Duration // until requests are aborted
+	late       bool // some requests are refused already
+	refusesAll bool
+	admitted   bool
+	limit      time.Duration // until the deadline of the request
+	timeLeft   time.Duration // until requests are aborted
 }
 
 // decide admits a request if it is certain to end before requests are aborted. Only
@@ -88,7 +89,7 @@
 	if !l.refuseAll && (l.refuseFrom.IsZero() || now.Before(l.refuseFrom)) {
 		return stopDecision{admitted: true}
 	}
-	d := stopDecision{late: true, limit: deadline.Sub(now), timeLeft: l.abortAt.Sub(now)}
+	d := stopDecision{late: true, refusesAll: l.refuseAll, limit: deadline.Sub(now), timeLeft: l.abortAt.Sub(now)}
 	d.admitted = !l.refuseAll && d.limit+answerAllowance <= d.timeLeft
 	return d
 }
@@ -96,7 +97,9 @@
 // recordDecision logs an admission at once, since the process may be killed
 // before the request ends. A refusal is logged with the request.
 func (l *stopFilter) recordDecision(r *filter.Request, d stopDecision) {
-	fields := func(e *zerolog.Event) { e.Dur("limit", d.limit).Dur("time_left", d.timeLeft) }
+	fields := func(e *zerolog.Event) {
+		e.Dur("limit", d.limit).Dur("time_left", d.timeLeft).Bool("refuses_all", d.refusesAll)
+	}
 	if !d.admitted {
 		l.events.Inc("refused_late")
 		r.Note("request might not end before the router stops", fields)
