router: a stop ends only after requests that wait unread are answered

The fault of camphor-entry, found by looking for its cause elsewhere: camphor-router looked only at requests whose handlers ran, found none in progress, and closed the connections on which others waited. Callers got a closed connection for a request that had not run.

The stop now waits until the process has run on time for 60 ms, as that of camphor-entry does; the check moves from there to package punctual. Meanwhile requests are refused as stopping.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/camphorlever/camphorlever/internal/filter"
+	"github.com/camphorlever/camphorlever/internal/punctual"
 )
 
 // Steps of a graceful stop, as fractions of the grace period, and its timing.
@@ -27,13 +28,8 @@
 	abortFraction = 0.95
 	// closeFraction is when connections are closed even if requests may wait unread.
 	closeFraction = 0.97
-	// readPeriod is how long a process must run on time before it closes connections.
-	// After it was held up, it reads the requests that came meanwhile within this time.
-	readPeriod = 60 * time.Millisecond
-	// maxPollDelay is how late a poll may come in a process that runs on time.
-	maxPollDelay = 20 * time.Millisecond
 	// idlePollPeriod is how often a stop checks for requests in progress.
-	idlePollPeriod = 20 * time.Millisecond
+	idlePollPeriod = punctual.PollPeriod
 	// minReportedDelay is how late the process must run for that to be logged.
 	minReportedDelay = 150 * time.Millisecond
 	// releaseTimeout bounds the return of local balances; a slow log takes
@@ -106,7 +102,7 @@
 // waitUnread waits until no request is in progress and those that came while the process was
 // held up have been read. It returns false if it reached limit.
 func (r *Router) waitUnread(limit time.Time) bool {
-	for onTime := newPunctuality(time.Now()); !onTime.poll(time.Now()) || r.activeRequests.Load() > 0; {
+	for onTime := punctual.NewWatch(time.Now()); !onTime.Poll(time.Now()) || r.activeRequests.Load() > 0; {
 		if !time.Now().Before(limit) {
 			return false
 		}
@@ -115,21 +111,6 @@
 	return true
 }
 
-// punctuality records since when a process runs on time, by how late its polls come.
-type punctuality struct{ since, polledAt time.Time }
-
-func newPunctuality(now time.Time) *punctuality { return &punctuality{since: now, polledAt: now} }
-
-// poll is called every idlePollPeriod. It reports whether the process has run on time for
-// readPeriod.
-func (p *punctuality) poll(now time.Time) bool {
-	if now.Sub(p.polledAt) > idlePollPeriod+maxPollDelay {
-		p.since = now
-	}
-	p.polledAt = now
-	return now.Sub(p.since) >= readPeriod
-}
-
 // releaseBalances ends the budget tasks, returns the local balances and removes
 // this router from the peer set, as far as limit and releaseTimeout allow.
 func (r *Router) releaseBalances(limit time.Time) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -33,8 +33,6 @@
 	// unreadyDelay is how long the router still serves new requests after it
 	// reports that it is not ready, so that the load balancer can notice.
 	unreadyDelay = time.Second
-	// idlePollPeriod is how often a stop checks for requests in progress.
-	idlePollPeriod = 50 * time.Millisecond
 	// flushTimeout bounds the last settlements, the return of the grants and
 	// the deregistration, all of which are written to the log.
 	flushTimeout = 20 * time.Second
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/camphorlever/camphorlever/internal/punctual"
 )
 
 // Stop stops the router gracefully: it reports not ready to the load balancer,
@@ -42,14 +44,15 @@
 	return err
 }
 
-// finishRequests waits for all requests in progress. The listener stays open
-// meanwhile, so that new requests are refused as stopping.
+// finishRequests waits for all requests in progress, and until those that came while the
+// process was held up have been read. The listener stays open meanwhile, so that new
+// requests are refused as stopping.
 func (r *Router) finishRequests(ctx context.Context) error {
 	if r.callerServer == nil {
 		return nil
 	}
-	for r.state.active.Load() > 0 && ctx.Err() == nil {
-		sleep(ctx, idlePollPeriod)
+	for onTime := punctual.NewWatch(time.Now()); ctx.Err() == nil && (!onTime.Poll(time.Now()) || r.state.active.Load() > 0); {
+		sleep(ctx, punctual.PollPeriod)
 	}
 	return errors.Wrap(r.callerServer.Shutdown(ctx), "requests in progress")
 }
--- a/internal/router/stop_test.go
+++ b/internal/router/stop_test.go
@@ -75,6 +75,9 @@
 		default:
 		}
 	}
+	for _, unused := range conns[sent:] {
+		require.NoError(t, unused.Close()) // else the HTTP server waits for their requests
+	}
 	for i, conn := range conns[:sent] {
 		require.NoError(t, conn.SetReadDeadline(time.Now().Add(testTimeout)))
 		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
