--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/camphorlever/camphorlever/internal/filter"
+	"github.com/camphorlever/camphorlever/internal/punctual"
 )
 
 // Steps of a graceful stop, as fractions of the grace period, and its timing.
@@ -13,7 +14,7 @@
 	// admitAllFraction is how long all requests are admitted. The platform
 	// takes the router out of service after two readiness probes, a second
 	// apart, and callers may still connect until then. Afterwards only requests
-	// that will probably end in time are admitted.
+	// that are certain to end in time are admitted.
 	admitAllFraction = 0.33
 	// maxAdmitAll is the longest time for which all requests are admitted,
 	// however long the grace period is.
@@ -25,8 +26,12 @@
 	releaseFraction = 0.8
 	// abortFraction is when requests in progress are aborted.
 	abortFraction = 0.95
+	// closeFraction is when connections are closed even if requests may wait unread.
+	closeFraction = 0.97
 	// idlePollPeriod is how often a stop checks for requests in progress.
-	idlePollPeriod = 20 * time.Millisecond
+	idlePollPeriod = punctual.PollPeriod
+	// minReportedDelay is how late the process must run for that to be logged.
+	minReportedDelay = 150 * time.Millisecond
 	// releaseTimeout bounds the return of local balances; a slow log takes
 	// about 300 ms for each call.
 	releaseTimeout = 1100 * time.Millisecond
@@ -46,17 +51,22 @@
 	}
 	r.stopping.Store(true)
 	r.log.Info().Int64("active", r.activeRequests.Load()).Msg("router is stopping")
+	stopped := make(chan struct{})
+	defer close(stopped)
+	go r.reportDelays(stopped)
 	admitAll := min(time.Duration(admitAllFraction*float64(r.options.GracePeriod)), maxAdmitAll)
 	r.stopFilter.beginStop(begun.Add(admitAll), timeAt(abortFraction))
 	time.Sleep(time.Until(timeAt(minStopFraction)))
 	r.waitIdle(timeAt(releaseFraction))
+	r.stopFilter.refuseAllFromNow() // the tokens that requests may need are returned
 	r.releaseBalances(timeAt(abortFraction))
-	r.waitIdle(timeAt(abortFraction))
-	r.stopFilter.beginStop(begun, begun) // requests are refused from now on, since Shutdown may abort them
-	if active := r.activeRequests.Load(); active > 0 {
-		r.log.Warn().Int64("active", active).Msg("requests are aborted at the end of the grace period")
+	if !r.waitUnread(timeAt(abortFraction)) {
+		if active := r.activeRequests.Load(); active > 0 {
+			r.log.Warn().Int64("active", active).Msg("requests are aborted at the end of the grace period")
+		}
+		r.abortRequests(filter.ErrStopping)
+		r.waitUnread(timeAt(closeFraction))
 	}
-	r.abortRequests(filter.ErrStopping)
 	shutdownCtx, cancelShutdown := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancelShutdown()
 	if err := r.callerServer.Shutdown(shutdownCtx); err != nil {
@@ -66,6 +76,22 @@
 	r.log.Info().Dur("took", time.Since(begun)).Msg("router stopped")
 }
 
+// reportDelays logs that the process was held up, until stopped is closed. Requests that
+// come meanwhile are not read.
+func (r *Router) reportDelays(stopped <-chan struct{}) {
+	for {
+		due := time.Now().Add(idlePollPeriod)
+		select {
+		case <-stopped:
+			return
+		case <-time.After(idlePollPeriod):
+		}
+		if late := time.Since(due); late > minReportedDelay {
+			r.log.Warn().Dur("late", late).Int64("active", r.activeRequests.Load()).Msg("process was held up while the router stops")
+		}
+	}
+}
+
 // waitIdle waits until no request is in progress, but not beyond limit.
 func (r *Router) waitIdle(limit time.Time) {
 	for r.activeRequests.Load() > 0 && time.Now().Before(limit) {
@@ -73,6 +99,18 @@
 	}
 }
 
+// waitUnread waits until no request is in progress and those that came while the process was
+// held up have been read. It returns false if it reached limit.
+func (r *Router) waitUnread(limit time.Time) bool {
+	for onTime := punctual.NewWatch(time.Now()); !onTime.Poll(time.Now()) || r.activeRequests.Load() > 0; {
+		if !time.Now().Before(limit) {
+			return false
+		}
+		time.Sleep(idlePollPeriod)
+	}
+	return true
+}
+
 // releaseBalances ends the budget tasks, returns the local balances and removes
 // this router from the peer set, as far as limit and releaseTimeout allow.
 func (r *Router) releaseBalances(limit time.Time) {
--- a/internal/entry/stopfilter.go
+++ b/internal/entry/stopfilter.go
@@ -2,40 +2,43 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/camphorlever/camphorlever/internal/counter"
 	"github.com/camphorlever/camphorlever/internal/filter"
 	"github.com/camphorlever/camphorlever/internal/refusal"
 )
 
-// stopFilter refuses requests that would not end before the router stops. It
+// stopFilter refuses requests that may not end before the router stops. It
 // covers the case that all routers are stopped at nearly the same time, so that
-// callers cannot move to another one: short requests are still served until
-// shortly before the end.
+// callers cannot move to another one: requests with a short time limit are still
+// served until shortly before the end.
 type stopFilter struct {
-	log zerolog.Logger
+	log    zerolog.Logger
+	events *counter.Set
 
 	mu         sync.Mutex // guards all below
-	durations  *durationEstimator
-	refuseFrom time.Time // until then all requests are admitted; zero if the router is not stopping
-	abortAt    time.Time // when requests in progress are aborted
+	refuseFrom time.Time  // until then all requests are admitted; zero if the router is not stopping
+	abortAt    time.Time  // when requests in progress are aborted
+	refuseAll  bool
 }
 
 const (
-	// durationMargin is the factor by which a request may exceed its estimated
-	// duration.
-	durationMargin = 1.5
+	// answerAllowance is the time between the deadline of a request that is
+	// admitted late and the abort. A VM with a small share of a processor may need
+	// it to answer that the deadline has passed.
+	answerAllowance = 100 * time.Millisecond
 	// stoppingRetryAfter is the retry delay for a caller that reached a
 	// stopping router: its next connection leads to another one.
 	stoppingRetryAfter = 50 * time.Millisecond
 )
 
 func newStopFilter(log zerolog.Logger) *stopFilter {
-	return &stopFilter{log: log, durations: newDurationEstimator()}
+	return &stopFilter{log: log, events: counter.NewSet("stop")}
 }
 
 // beginStop sets the time from which requests may be refused, and the time at
@@ -46,46 +49,48 @@
 	l.refuseFrom, l.abortAt = refuseFrom, abortAt
 }
 
-// Handle implements filter.Filter.
+// refuseAllFromNow refuses all requests that it has not admitted yet.
+func (l *stopFilter) refuseAllFromNow() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refuseAll = true
+}
+
+// Handle implements filter.Filter. The body of the request has been read.
 func (l *stopFilter) Handle(ctx context.Context, r *filter.Request, next filter.Next) filter.Outcome {
-	if d := l.decide(r.Passthrough, time.Now()); d.late {
+	d := l.decide(r.Passthrough.Deadline, time.Now())
+	if d.late {
 		l.recordDecision(r, d)
 		if !d.admitted {
 			return refuseWithRetryAfter(refusal.Stopping, "The router is being stopped.", stoppingRetryAfter)
 		}
 	}
 	out := next(ctx, r)
-	if out.Refusal == nil && r.Writer.Status < http.StatusMultipleChoices {
-		l.recordDuration(r.Passthrough, time.Since(r.Received))
+	if d.late {
+		l.recordEnd(ctx, r, out)
 	}
 	return out
 }
 
 // stopDecision is whether a request is admitted while the router stops.
 type stopDecision struct {
-	late      bool // some requests are refused already
-	admitted  bool
-	estimated bool          // from comparable requests before
-	duration  time.Duration // that the request may take, with the margin
-	timeLeft  time.Duration // until requests are aborted
+	late       bool // some requests are refused already
+	refusesAll bool
+	admitted   bool
+	limit      time.Duration // until the deadline of the request
+	timeLeft   time.Duration // until requests are aborted
 }
 
-// decide admits a request that is received now if it will probably end before
-// requests are aborted. It may take as long as requests of its kind took, or until
-// its deadline if no comparable ones were recorded.
-func (l *stopFilter) decide(p *filter.Passthrough, now time.Time) stopDecision {
+// decide admits a request if it is certain to end before requests are aborted. Only
+// its deadline makes that certain: a server may take longer than for any request before.
+func (l *stopFilter) decide(deadline, now time.Time) stopDecision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.refuseFrom.IsZero() || now.Before(l.refuseFrom) {
+	if !l.refuseAll && (l.refuseFrom.IsZero() || now.Before(l.refuseFrom)) {
 		return stopDecision{admitted: true}
 	}
-	longest := p.Deadline.Sub(now)
-	expected, estimated := l.durations.estimate(p)
-	if estimated {
-		longest = min(longest, expected)
-	}
-	d := stopDecision{late: true, estimated: estimated, duration: time.Duration(durationMargin * float64(longest)), timeLeft: l.abortAt.Sub(now)}
-	d.admitted = d.duration < d.timeLeft
+	d := stopDecision{late: true, refusesAll: l.refuseAll, limit: deadline.Sub(now), timeLeft: l.abortAt.Sub(now)}
+	d.admitted = !l.refuseAll && d.limit+answerAllowance <= d.timeLeft
 	return d
 }
 
@@ -93,20 +98,32 @@
 // before the request ends. A refusal is logged with the request.
 func (l *stopFilter) recordDecision(r *filter.Request, d stopDecision) {
 	fields := func(e *zerolog.Event) {
-		e.Dur("duration", d.duration).Bool("estimated", d.estimated).Dur("time_left", d.timeLeft).Int64("max_events", maxEvents(r.Passthrough))
+		e.Dur("limit", d.limit).Dur("time_left", d.timeLeft).Bool("refuses_all", d.refusesAll)
 	}
 	if !d.admitted {
-		r.Note("request would not end before the router stops", fields)
+		l.events.Inc("refused_late")
+		r.Note("request might not end before the router stops", fields)
 		return
 	}
+	l.events.Inc("admitted_late")
 	event := l.log.Info().Str("request", r.Passthrough.Call.Attempt).Dur("at", time.Since(r.Received)).Str("route", r.Passthrough.Route.Name)
 	fields(event)
 	event.Msg("request admitted late in a stop")
 }
 
-// recordDuration records how long a request was in progress that was answered.
-func (l *stopFilter) recordDuration(p *filter.Passthrough, duration time.Duration) {
+// recordEnd logs the end of a request that was admitted late, also if it was answered.
+func (l *stopFilter) recordEnd(ctx context.Context, r *filter.Request, out filter.Outcome) {
+	outcome := "answered"
+	if out.Refusal != nil {
+		outcome = string(out.Refusal.Code)
+	}
+	aborted := errors.Is(context.Cause(ctx), filter.ErrStopping)
+	if aborted {
+		l.events.Inc("aborted_late")
+	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.durations.record(p, duration)
+	timeLeft := time.Until(l.abortAt)
+	l.mu.Unlock()
+	l.log.Info().Str("request", r.Passthrough.Call.Attempt).Dur("at", time.Since(r.Received)).Str("outcome", outcome).
+		Int("status_sent", r.Writer.Status).Bool("aborted", aborted).Dur("time_left", timeLeft).Msg("request admitted late in a stop has ended")
 }
