platform: read the era of the log

The log could not be told apart from one that only trims its history: both answer a read with 410. The era in its replies is now read, logged when it rises, and counted. An era that is missing, malformed, lower than before or absurdly high gets a counter and a line, and changes nothing. No decision depends on the era yet.

--- a/cmd/camphor-entry/main.go
+++ b/cmd/camphor-entry/main.go
@@ -91,7 +91,7 @@
 	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	logger := zerolog.New(sink).Level(level).With().Timestamp().Str("node", local.Node).Logger()
-	r := entry.New(entryOptions(local, cli), platform.NewLog(local.LogAddress, logTransport(cli.LogVia)), platform.Codec{}, logger)
+	r := entry.New(entryOptions(local, cli), platform.NewLog(local.LogAddress, logTransport(cli.LogVia), logger), platform.Codec{}, logger)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if err := r.Start(); err != nil {
