test/soak: restore the log from a copy beside other faults

TestSoakWithRestores plays the seeds of TestSoak with one or two restores from copies that are 0.5 to 9 s old. The schedules of TestSoak stay as they were.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -51,6 +51,15 @@
 	case logFault:
 		defer w.notes.disrupts(allRouters)()
 		w.failLog(standin.Fault(f.Way), span)
+	case restore:
+		defer w.notes.disrupts(allRouters)()
+		// The copy has what was there before the load.
+		age := min(time.Duration(f.Age)*time.Millisecond, time.Since(w.began))
+		lost := w.store.Restore(w.store.CopyOfAge(age), span)
+		time.Sleep(span + time.Second)
+		w.mu.Lock()
+		w.store.WriteAgain(lost)
+		w.mu.Unlock()
 	case forget:
 		w.store.Trim(platform.StreamBudgets)
 		w.store.Trim(platform.StreamServers)
--- a/test/soak/schedule_test.go
+++ b/test/soak/schedule_test.go
@@ -36,6 +36,7 @@
 	foreign    Kind = "foreign"    // entries that nobody can read come into the streams
 	impatience Kind = "impatience" // callers leave early
 	deadly     Kind = "deadly"     // a prompt part crashes workers
+	restore    Kind = "restore"    // the log is away for the span and comes back from a copy
 )
 
 // Fault is one fault of a schedule.
@@ -45,6 +46,7 @@
 	For  int    `json:"for_ms,omitempty"`
 	N    int    `json:"n,omitempty"` // which router, worker or account
 	Way  string `json:"way,omitempty"`
+	Age  int    `json:"age_ms,omitempty"` // of a copy of the log
 }
 
 // Schedule is what happens in one run.
@@ -111,7 +113,23 @@
 			Fault{At: at, Kind: grey, Way: "pause", N: 1, For: 2000},
 			Fault{At: at + 500, Kind: grey, Way: "say-leaving", N: 2, For: 3000})
 	}
+	s.sort()
+	return s
+}
+
+func (s *Schedule) sort() {
 	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return a.At - b.At })
+}
+
+// drawRestored makes the schedule of a seed with one or two restores of the log beside its
+// other faults.
+func drawRestored(seed uint64) Schedule {
+	r := rand.New(rand.NewPCG(seed, 0xc0b1))
+	s := draw(seed)
+	for range 1 + r.IntN(2) {
+		s.Faults = append(s.Faults, Fault{At: faultsTill/3 + r.IntN(faultsTill/2), Kind: restore, For: r.IntN(2000), Age: 500 + r.IntN(8500)})
+	}
+	s.sort()
 	return s
 }
 
@@ -134,7 +152,11 @@
 }
 
 func (f Fault) String() string {
-	return fmt.Sprintf("%s n=%d %s at %d ms for %d ms", f.Kind, f.N, f.Way, f.At, f.For)
+	text := fmt.Sprintf("%s n=%d %s at %d ms for %d ms", f.Kind, f.N, f.Way, f.At, f.For)
+	if f.Age > 0 {
+		text += fmt.Sprintf(" from a copy %d ms old", f.Age)
+	}
+	return text
 }
 
 // shrink leaves faults out as long as the schedule goes on failing.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -93,7 +93,12 @@
 	require.Empty(t, broken[:min(shown, len(broken))], "seed %d, faults %v", s.Seed, s.Faults)
 }
 
-func TestSoak(t *testing.T) {
+func TestSoak(t *testing.T) { playSeeds(t, draw) }
+
+// TestSoakWithRestores plays the same seeds on a log that comes back from older copies.
+func TestSoakWithRestores(t *testing.T) { playSeeds(t, drawRestored) }
+
+func playSeeds(t *testing.T, draw func(seed uint64) Schedule) {
 	if *replay != "" || *guards {
 		t.Skip("another run was asked for")
 	}
