watch: a position in the log is an era and an offset

Callers saw 404 for a route that had been added, or a server without requests, after the log came back from an older copy: a reader went on from its next offset, which had been given out again, and missed what was written there.

Readers and appends now name the era together with the offset. A reply of another era is ErrRestored; the watcher then loads the newest entries and passes them to its sink as Restore, since an older copy is no proof that something ended: settings and orders to evacuate stay in force, servers have the time that they get after an outage, routers that the copy lacks stay known, and each router announces itself and writes its quarantined parts again.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -383,8 +383,15 @@
 // wait for their appends.
 func (r *Router) announce(ctx context.Context) {
 	r.peerSet.AwaitLoaded(ctx, announceDelay)
-	if err := r.peerSet.Announce(ctx, r.platform); err != nil {
-		r.log.Warn().Err(err).Msg("router could not announce itself")
+	for {
+		if err := r.peerSet.Announce(ctx, r.platform); err != nil {
+			r.log.Warn().Err(err).Msg("router could not announce itself")
+		}
+		select {
+		case <-r.peerSet.Restored():
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
--- a/internal/entry/sendgate_test.go
+++ b/internal/entry/sendgate_test.go
@@ -16,7 +16,6 @@
 	"github.com/camphorlever/camphorlever/internal/affinity"
 	"github.com/camphorlever/camphorlever/internal/catalog"
 	"github.com/camphorlever/camphorlever/internal/evacuation"
-	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/logservice"
 	"github.com/camphorlever/camphorlever/internal/membership"
 	"github.com/camphorlever/camphorlever/internal/watch"
@@ -36,26 +35,27 @@
 	return logservice.NewestPage{}, nil
 }
 
-func (l *scriptedLog) ReadKeyed(ctx context.Context, _ logservice.Stream, from ident.Offset, wait time.Duration) ([]logservice.KeyedEntry, ident.Offset, error) {
+func (l *scriptedLog) ReadKeyed(ctx context.Context, _ logservice.Stream, from logservice.Position, wait time.Duration) (logservice.KeyedPage, error) {
 	l.mu.Lock()
 	hangs, fails, entries := l.hangs, l.fails, l.entries
 	l.hangs = 0
 	l.mu.Unlock()
 	if hangs > 0 {
 		time.Sleep(hangs)
-		return nil, 0, logservice.ErrUnavailable
+		return logservice.KeyedPage{}, logservice.ErrUnavailable
 	}
 	if fails {
-		return nil, 0, logservice.ErrUnavailable
+		return logservice.KeyedPage{}, logservice.ErrUnavailable
 	}
-	if int(from) < len(entries) {
-		return entries[from:], ident.Offset(len(entries)), nil
+	if int(from.Offset) < len(entries) {
+		found := entries[from.Offset:]
+		return logservice.KeyedPage{Entries: found, Next: from.After(len(found))}, nil
 	}
 	select {
 	case <-time.After(wait + time.Millisecond):
-		return nil, from, nil
+		return logservice.KeyedPage{Next: from}, nil
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return logservice.KeyedPage{}, ctx.Err()
 	}
 }
 
@@ -245,3 +245,17 @@
 	orders.Apply(evacuation.Update{DataCentre: "a"})
 	require.NotContains(t, scrape(), `data_centre="a"`)
 }
+
+// TestOlderCopyOfTheLogRevokesNoOrder guards against requests to an evacuated data centre
+// whose order the log has lost.
+func TestOlderCopyOfTheLogRevokesNoOrder(t *testing.T) {
+	sink := newTestSink()
+	settings := logservice.KeyedEntry{Key: "settings", Value: []byte("{}")}
+	a, b := logservice.KeyedEntry{Key: "a", Value: []byte("{}")}, logservice.KeyedEntry{Key: "b", Value: []byte("{}")}
+	sink.Reset([]logservice.KeyedEntry{settings, a})
+	sink.Restore([]logservice.KeyedEntry{settings, b})
+	require.True(t, sink.orders.orders.InForce("a"))
+	require.True(t, sink.orders.orders.InForce("b"))
+	sink.Apply([]logservice.KeyedEntry{{Key: "a"}})
+	require.False(t, sink.orders.orders.InForce("a"))
+}
--- a/internal/entry/sinks.go
+++ b/internal/entry/sinks.go
@@ -57,6 +57,10 @@
 	p.applySettings(entries)
 }
 
+// Restore implements watch.Sink. An order that the older copy lacks stays in force until
+// its revocation is read.
+func (p *settingsSink) Restore(entries []logservice.KeyedEntry) { p.Apply(entries) }
+
 // SetReachable implements watch.Sink.
 func (p *settingsSink) SetReachable(bool) {}
 
@@ -153,6 +157,9 @@
 // Reset implements watch.Sink.
 func (s *serverSink) Reset(entries []logservice.KeyedEntry) { s.table.Reset(s.updates(entries)...) }
 
+// Restore implements watch.Sink.
+func (s *serverSink) Restore(entries []logservice.KeyedEntry) { s.table.Restore(s.updates(entries)...) }
+
 // Apply implements watch.Sink.
 func (s *serverSink) Apply(entries []logservice.KeyedEntry) { s.table.Apply(s.updates(entries)...) }
 
@@ -203,6 +210,17 @@
 	s.Sink.Reset(entries)
 }
 
+// Restore implements watch.Sink. Routers that the older copy lacks keep their share of the
+// rate.
+func (s *routerSink) Restore(entries []logservice.KeyedEntry) {
+	for _, e := range entries {
+		if e.Key != "" && len(e.Value) > 0 {
+			s.cold.SetRouter(e.Key, true)
+		}
+	}
+	s.Sink.Restore(entries)
+}
+
 // Apply implements watch.Sink.
 func (s *routerSink) Apply(entries []logservice.KeyedEntry) {
 	for _, e := range entries {
--- a/internal/logservice/logservice.go
+++ b/internal/logservice/logservice.go
@@ -67,6 +67,33 @@
 // append expected; nothing was written.
 var ErrMoved = errors.New("log stream does not end at the expected offset")
 
+// ErrRestored means that the log came back from an older copy after the position of
+// a call was read. An append may have been written at the same offset of the new era.
+var ErrRestored = errors.New("log was restored from an older copy")
+
+// Era counts how often a log came back from an older copy of itself. Zero if unknown.
+type Era int64
+
+// Position is an offset in a keyed stream, in one era of the log. Offsets are given
+// out again in a later era, so they cannot be compared across eras.
+type Position struct {
+	Era    Era
+	Offset ident.Offset
+}
+
+// After returns the position a number of entries later.
+func (p Position) After(entries int) Position {
+	p.Offset += ident.Offset(entries)
+	return p
+}
+
+// KeyedPage is the entries of a keyed stream from a position on, without gaps.
+type KeyedPage struct {
+	Entries []KeyedEntry
+	// Next is the position after the last entry.
+	Next Position
+}
+
 // KeyedEntry is the newest entry of one key of a keyed stream. A nil Value
 // means that the key was deleted.
 type KeyedEntry struct {
--- a/internal/logservice/newest.go
+++ b/internal/logservice/newest.go
@@ -2,16 +2,14 @@
 
 import (
 	"context"
-
-	"github.com/camphorlever/camphorlever/internal/ident"
 )
 
 // NewestPage is one page of the newest entries per key of a keyed stream, ordered by
 // key.
 type NewestPage struct {
 	Entries []KeyedEntry
-	More    bool         // further keys follow the last one
-	End     ident.Offset // end offset of the stream when the page was read
+	More    bool     // further keys follow the last one
+	End     Position // end of the stream when the page was read
 }
 
 // Pager reads the newest entry of each key in pages. A page starts at the first key
@@ -25,13 +23,14 @@
 // caller continues to read the stream from End.
 type NewestReader struct {
 	Entries []KeyedEntry
-	End     ident.Offset // end offset of the stream when the first page was read
+	End     Position // end of the stream when the first page was read
 	started bool
 }
 
 // Read reads the remaining pages. When it fails, it keeps the pages already read and
 // the next call continues after them: otherwise many processes that start at once
-// would load a busy log service with repeated reads of the first pages.
+// would load a busy log service with repeated reads of the first pages. It starts over
+// if the log is restored from an older copy between two pages.
 func (n *NewestReader) Read(ctx context.Context, log Pager, stream Stream) error {
 	for {
 		after := ""
@@ -42,6 +41,10 @@
 		if err != nil {
 			return err
 		}
+		if n.started && page.End.Era != n.End.Era {
+			*n = NewestReader{}
+			continue
+		}
 		if !n.started {
 			n.started, n.End = true, page.End
 		}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -171,6 +171,16 @@
 	})
 }
 
+// Restore applies the newest entries of all servers after the store came back from an
+// older copy. Servers that are not among them are kept for recoveryGrace, within which
+// those that live write their entries again.
+func (t *Table) Restore(updates ...Update) {
+	t.mu.Lock()
+	t.storeRecoveredAt = time.Now()
+	t.mu.Unlock()
+	t.Reset(updates...)
+}
+
 func (t *Table) apply(updates []Update) {
 	for _, u := range updates {
 		switch {
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -278,3 +278,32 @@
 }
 
 func ptr(s Server) *Server { return &s }
+
+// TestOlderCopyOfTheStoreIsNoProofThatAServerEnded guards against servers that are lost, or
+// used again, because the store came back from an older copy.
+func TestOlderCopyOfTheStoreIsNoProofThatAServerEnded(t *testing.T) {
+	draining := func(s *Server) { s.Draining = true }
+	synctest.Test(t, func(t *testing.T) {
+		table := New(zerolog.Nop())
+		put := func(s Server) { table.Apply(Update{ID: s.ID, Server: &s}) }
+		usable := func() int { return len(table.ForService("readers")) }
+		older := serverEntry(3)
+		put(serverEntry(4))
+		table.Restore(Update{ID: "s1", Server: &older})
+		require.Equal(t, 1, usable(), "the older entry changes nothing")
+		table.Restore()
+		require.Equal(t, 1, usable(), "the copy lacks it")
+		time.Sleep(recoveryGrace / 2)
+		put(serverEntry(5))
+		time.Sleep(2 * recoveryGrace)
+		table.RemoveExpired()
+		require.Equal(t, 1, usable(), "it was written again")
+		table.Restore()
+		time.Sleep(recoveryGrace + time.Millisecond)
+		table.RemoveExpired()
+		require.Zero(t, usable(), "it was not written again")
+		put(modified(serverEntry(8), draining))
+		table.Restore(Update{ID: "s1", Server: &older})
+		require.Zero(t, usable(), "a server that drains is not used again")
+	})
+}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -230,3 +230,20 @@
 	defer cancel()
 	require.Error(t, r.Leave(ctx, &flakyAnnouncer{failures: 1000}))
 }
+
+// TestPeerSetKeepsRoutersThatAnOlderCopyLacks also checks that a router that has left is not
+// added again, and that this router is told to announce itself.
+func TestPeerSetKeepsRoutersThatAnOlderCopyLacks(t *testing.T) {
+	r := peerSetOf(t, Member{Node: "a", Incarnation: "a/1"}, Member{Node: "b", Incarnation: "b/1"}, Member{Node: "c", Incarnation: "c/1"})
+	r.Apply([]logservice.KeyedEntry{{Key: "c"}})
+	entry := func(m Member) logservice.KeyedEntry {
+		raw, err := msgpack.Marshal(&m)
+		require.NoError(t, err)
+		return logservice.KeyedEntry{Key: m.Node, Value: raw}
+	}
+	r.Restore([]logservice.KeyedEntry{entry(Member{Node: "a", Incarnation: "a/1"}), entry(Member{Node: "c", Incarnation: "c/1"}), entry(Member{Node: "d", Incarnation: "d/1"})})
+	require.Equal(t, []string{"a", "b", "d", "self"}, r.Fleet().Routers)
+	require.Len(t, r.Restored(), 1)
+	r.Apply([]logservice.KeyedEntry{entry(Member{Node: "c", Incarnation: "c/2"})})
+	require.Contains(t, r.Fleet().Routers, "c", "it has started again")
+}
--- a/internal/peers/peerset.go
+++ b/internal/peers/peerset.go
@@ -53,7 +53,10 @@
 
 	mu      sync.Mutex // guards all below
 	members map[string]Member
+	left    map[string]string // incarnations whose entries were removed, by node
 	fleet   prepaid.Fleet
+
+	restored chan struct{} // receives a value when the log came back from an older copy
 }
 
 // NewPeerSet returns a set without other routers.
@@ -63,6 +66,9 @@
 		stream:  stream,
 		log:     log.With().Str("part", "peers").Logger(),
 		members: map[string]Member{},
+		left:    map[string]string{},
+
+		restored: make(chan struct{}, 1),
 	}
 	r.updateFleet()
 	return r
@@ -108,6 +114,28 @@
 	r.log.Info().Int("routers", len(entries)).Msg("router entries loaded")
 }
 
+// Restore implements watch.Sink. Routers that the older copy lacks are kept, and those
+// that are known to have left are not added again.
+func (r *PeerSet) Restore(entries []logservice.KeyedEntry) {
+	r.mu.Lock()
+	left := maps.Clone(r.left)
+	r.mu.Unlock()
+	entries = slices.DeleteFunc(slices.Clone(entries), func(e logservice.KeyedEntry) bool {
+		var m Member
+		return msgpack.Unmarshal(e.Value, &m) == nil && m.Incarnation != "" && left[e.Key] == m.Incarnation
+	})
+	r.Apply(entries)
+	r.log.Info().Int("routers", len(entries)).Msg("router entries of an older copy of the log loaded")
+	select {
+	case r.restored <- struct{}{}:
+	default:
+	}
+}
+
+// Restored returns a channel that receives a value whenever the log came back from an
+// older copy, which may lack the entry of this router.
+func (r *PeerSet) Restored() <-chan struct{} { return r.restored }
+
 // Apply implements watch.Sink.
 func (r *PeerSet) Apply(entries []logservice.KeyedEntry) {
 	r.mu.Lock()
@@ -118,6 +146,9 @@
 			continue
 		}
 		if e.Value == nil {
+			if m, found := r.members[e.Key]; found {
+				r.left[e.Key] = m.Incarnation
+			}
 			delete(r.members, e.Key)
 			r.log.Info().Str("router", e.Key).Msg("router has left")
 			continue
--- a/internal/peers/snapshots_test.go
+++ b/internal/peers/snapshots_test.go
@@ -83,7 +83,7 @@
 			if !found {
 				reads.Add(1)
 				time.Sleep(100 * time.Millisecond) // the log is slow while many read it
-				snapshot = watch.Snapshot{Offset: 7, Data: []byte("entries")}
+				snapshot = watch.Snapshot{Position: logservice.Position{Offset: 7}, Data: []byte("entries")}
 			}
 			r.snapshot.Store(&snapshot)
 		})
@@ -92,7 +92,7 @@
 	require.LessOrEqual(t, reads.Load(), int64(3*snapshotLoaders))
 	require.Less(t, time.Since(begun), minSnapshotWait)
 	for _, r := range routers {
-		require.EqualValues(t, 7, r.snapshot.Load().Offset)
+		require.EqualValues(t, 7, r.snapshot.Load().Position.Offset)
 	}
 }
 
@@ -101,11 +101,11 @@
 func TestRestartedRouterGetsSnapshotFromNeighbour(t *testing.T) {
 	routers := startSnapshotRouters(t, 4)
 	for _, r := range routers[1:] {
-		r.snapshot.Store(&watch.Snapshot{Offset: 9})
+		r.snapshot.Store(&watch.Snapshot{Position: logservice.Position{Offset: 9}})
 	}
 	snapshot, found := routers[0].client.Fetch(context.Background(), "servers")
 	require.True(t, found)
-	require.EqualValues(t, 9, snapshot.Offset)
+	require.EqualValues(t, 9, snapshot.Position.Offset)
 }
 
 // TestRouterAloneReadsTheLog: a router without others in its data centre does not
--- a/internal/prepaid/fake_test.go
+++ b/internal/prepaid/fake_test.go
@@ -15,6 +15,7 @@
 // fakeLog is keyed streams in memory with injectable faults.
 type fakeLog struct {
 	mu         sync.Mutex
+	era        logservice.Era // zero: the log has no eras
 	streams    map[logservice.Stream]*fakeStream
 	delayed    []func()      // appends without a reply that may take effect later
 	faults     *rand.Rand    // nil: no faults
@@ -68,26 +69,30 @@
 	for _, e := range newest {
 		list = append(list, e)
 	}
-	return logservice.NewestPage{Entries: list, End: ident.Offset(len(s.entries))}, nil
+	return logservice.NewestPage{Entries: list, End: logservice.Position{Era: l.era, Offset: ident.Offset(len(s.entries))}}, nil
 }
 
-func (l *fakeLog) ReadKeyed(_ context.Context, name logservice.Stream, from ident.Offset, _ time.Duration) ([]logservice.KeyedEntry, ident.Offset, error) {
+func (l *fakeLog) ReadKeyed(_ context.Context, name logservice.Stream, from logservice.Position, _ time.Duration) (logservice.KeyedPage, error) {
 	l.sleepLatency()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reads++
 	if l.down || l.chance(0.1) {
-		return nil, 0, logservice.Unavailable(errReplyLost)
+		return logservice.KeyedPage{}, logservice.Unavailable(errReplyLost)
 	}
 	s := l.stream(name)
-	if from < s.first {
-		return nil, 0, logservice.ErrTrimmed
+	if from.Era != 0 && from.Era != l.era {
+		return logservice.KeyedPage{}, logservice.ErrRestored
 	}
-	return append([]logservice.KeyedEntry(nil), s.entries[min(int(from), len(s.entries)):]...), ident.Offset(len(s.entries)), nil
+	if from.Offset < s.first || int(from.Offset) > len(s.entries) {
+		return logservice.KeyedPage{}, logservice.ErrTrimmed
+	}
+	found := append([]logservice.KeyedEntry(nil), s.entries[from.Offset:]...)
+	return logservice.KeyedPage{Entries: found, Next: logservice.Position{Era: l.era, Offset: from.Offset}.After(len(found))}, nil
 }
 
 // AppendAt implements Log.
-func (l *fakeLog) AppendAt(ctx context.Context, name logservice.Stream, at ident.Offset, entries ...logservice.KeyedEntry) error {
+func (l *fakeLog) AppendAt(ctx context.Context, name logservice.Stream, at logservice.Position, entries ...logservice.KeyedEntry) error {
 	l.sleepLatency()
 	if err := l.queueAppend(ctx, name); err != nil {
 		return err
@@ -99,11 +104,11 @@
 	}
 	s := l.stream(name)
 	apply := func() bool {
-		if at != ident.Offset(len(s.entries)) {
+		if at.Offset != ident.Offset(len(s.entries)) {
 			return false
 		}
 		for i, e := range entries {
-			e.Offset = at + ident.Offset(i)
+			e.Offset = at.Offset + ident.Offset(i)
 			s.entries = append(s.entries, e)
 		}
 		return true
@@ -118,7 +123,11 @@
 		l.delayed = append(l.delayed, func() { apply() })
 		return logservice.Unavailable(errReplyLost)
 	}
-	if !apply() {
+	applied := apply()
+	if at.Era != 0 && at.Era != l.era {
+		return logservice.ErrRestored
+	}
+	if !applied {
 		return logservice.ErrMoved
 	}
 	if l.chance(0.02) { // the history is trimmed, the newest entries stay
@@ -180,3 +189,25 @@
 	}
 	l.delayed = nil
 }
+
+// copyStreams returns the number of entries of each stream, to restore the log from.
+func (l *fakeLog) copyStreams() map[logservice.Stream]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lengths := map[logservice.Stream]int{}
+	for name, s := range l.streams {
+		lengths[name] = len(s.entries)
+	}
+	return lengths
+}
+
+// restore goes back to an older copy, in a new era.
+func (l *fakeLog) restore(lengths map[logservice.Stream]int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.era++
+	for name, s := range l.streams {
+		s.entries = s.entries[:lengths[name]:lengths[name]]
+		s.first = min(s.first, ident.Offset(lengths[name]))
+	}
+}
--- a/internal/prepaid/layout.go
+++ b/internal/prepaid/layout.go
@@ -48,7 +48,7 @@
 		return 0, errors.Wrap(err, "encode ledger layout")
 	}
 	// Whatever the outcome of the append, the entry that is read back counts.
-	appendErr := log.AppendAt(ctx, streams.Layout, 0, logservice.KeyedEntry{Key: layoutKey, Value: raw})
+	appendErr := log.AppendAt(ctx, streams.Layout, logservice.Position{}, logservice.KeyedEntry{Key: layoutKey, Value: raw})
 	shards, found, err = readLayout(ctx, log, streams.Layout)
 	if err == nil && !found {
 		err = errors.Wrap(appendErr, "record ledger layout")
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -14,15 +14,14 @@
 	"github.com/rs/zerolog"
 
 	"github.com/camphorlever/camphorlever/internal/counter"
-	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/logservice"
 )
 
 // Log is the part of the platform's log that the ledger uses.
 type Log interface {
 	logservice.Pager
-	ReadKeyed(ctx context.Context, stream logservice.Stream, from ident.Offset, wait time.Duration) ([]logservice.KeyedEntry, ident.Offset, error)
-	AppendAt(ctx context.Context, stream logservice.Stream, at ident.Offset, entries ...logservice.KeyedEntry) error
+	ReadKeyed(ctx context.Context, stream logservice.Stream, from logservice.Position, wait time.Duration) (logservice.KeyedPage, error)
+	AppendAt(ctx context.Context, stream logservice.Stream, at logservice.Position, entries ...logservice.KeyedEntry) error
 }
 
 // Change draws tokens of an account, or returns some.
@@ -95,11 +94,11 @@
 
 	mu        sync.Mutex // guards entries and readAt, which only the caller of Apply changes
 	entries   map[string]entry
-	readAt    time.Time    // when the entries were known to be current
-	end       ident.Offset // offset up to which the entries are known; only used by the caller of Apply
-	loaded    bool         // only used by the caller of Apply
-	writeSeq  uint64       // appends made so far; only used by the caller of Apply
-	contended bool         // the last read returned new entries of other writers; only used by the caller of Apply
+	readAt    time.Time           // when the entries were known to be current
+	end       logservice.Position // up to which the entries are known; only used by the caller of Apply
+	loaded    bool                // only used by the caller of Apply
+	writeSeq  uint64              // appends made so far; only used by the caller of Apply
+	contended bool                // the last read returned new entries of other writers; only used by the caller of Apply
 
 	unavailableSince atomic.Pointer[time.Time] // time of the first unanswered call; nil if the log answers
 }
@@ -247,8 +246,9 @@
 func (l *Ledger) refresh(ctx context.Context) error {
 	l.events.Inc("refreshes")
 	_, _, err := l.readBack(ctx, l.end)
-	l.recordAvailability(err == nil || errors.Is(err, logservice.ErrTrimmed))
-	if errors.Is(err, logservice.ErrTrimmed) {
+	reload := errors.Is(err, logservice.ErrTrimmed) || errors.Is(err, logservice.ErrRestored)
+	l.recordAvailability(err == nil || reload)
+	if reload {
 		return l.Load(ctx)
 	}
 	return err
@@ -311,15 +311,23 @@
 		l.events.Inc("appends")
 		l.recordAvailability(err == nil || errors.Is(err, logservice.ErrMoved))
 		if err == nil {
-			l.recordWrite(planned, at+ident.Offset(len(batch)))
+			l.recordWrite(planned, at.After(len(batch)))
 			return true, nil
 		}
+		if errors.Is(err, logservice.ErrRestored) {
+			l.loaded = false
+			return false, err
+		}
 		if !errors.Is(err, logservice.ErrMoved) {
 			l.events.Inc("append_unknown")
-			l.logger.Debug().Err(err).Int64("offset", int64(at)).Msg("append got no reply, reading back its outcome")
+			l.logger.Debug().Err(err).Int64("offset", int64(at.Offset)).Msg("append got no reply, reading back its outcome")
 		}
 		ours, known, err := l.readBack(ctx, at)
-		if errors.Is(err, logservice.ErrTrimmed) {
+		switch {
+		case errors.Is(err, logservice.ErrRestored):
+			l.loaded = false
+			return false, err
+		case errors.Is(err, logservice.ErrTrimmed):
 			return l.resolveTrimmed(ctx, accounts)
 		}
 		if err == nil && known {
@@ -351,34 +359,35 @@
 func (l *Ledger) recordAvailability(ok bool) {
 	if ok {
 		if since := l.unavailableSince.Swap(nil); since != nil {
-			l.logger.Info().Int64("offset", int64(l.end)).Dur("after", time.Since(*since)).
+			l.logger.Info().Int64("offset", int64(l.end.Offset)).Dur("after", time.Since(*since)).
 				Msg("budget entries can be written again")
 		}
 		return
 	}
 	now := time.Now()
 	if l.unavailableSince.CompareAndSwap(nil, &now) {
-		l.logger.Warn().Int64("offset", int64(l.end)).Msg("budget entries cannot be written, requests are served from local balances")
+		l.logger.Warn().Int64("offset", int64(l.end.Offset)).Msg("budget entries cannot be written, requests are served from local balances")
 	}
 }
 
-func (l *Ledger) recordWrite(planned map[string]entry, end ident.Offset) {
+func (l *Ledger) recordWrite(planned map[string]entry, end logservice.Position) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	maps.Copy(l.entries, planned)
 	l.end, l.readAt = end, time.Now()
 }
 
-// readBack reads the entries from an offset on, and reports whether the first is
+// readBack reads the entries from a position on, and reports whether the first is
 // this incarnation's last append. That is not known while there are none.
-func (l *Ledger) readBack(ctx context.Context, at ident.Offset) (ours, known bool, err error) {
+func (l *Ledger) readBack(ctx context.Context, at logservice.Position) (ours, known bool, err error) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	asked := time.Now()
-	read, _, err := l.log.ReadKeyed(call, l.stream, at, 0)
+	page, err := l.log.ReadKeyed(call, l.stream, at, 0)
 	if err != nil {
 		return false, false, err
 	}
+	read := page.Entries
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.readAt = asked
@@ -396,7 +405,7 @@
 		}
 		l.entries[raw.Key] = e
 	}
-	l.end = read[len(read)-1].Offset + 1
+	l.end = page.Next
 	return ours, true, nil
 }
 
--- a/internal/prepaid/ledger_test.go
+++ b/internal/prepaid/ledger_test.go
@@ -11,7 +11,6 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
-	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/logservice"
 )
 
@@ -79,7 +78,7 @@
 	lost bool
 }
 
-func (l *firstReplyLostLog) AppendAt(ctx context.Context, stream logservice.Stream, at ident.Offset, entries ...logservice.KeyedEntry) error {
+func (l *firstReplyLostLog) AppendAt(ctx context.Context, stream logservice.Stream, at logservice.Position, entries ...logservice.KeyedEntry) error {
 	if l.lost {
 		return l.fakeLog.AppendAt(ctx, stream, at, entries...)
 	}
--- a/internal/quarantine/sink.go
+++ b/internal/quarantine/sink.go
@@ -22,6 +22,9 @@
 	t.Apply(entries)
 }
 
+// Restore implements watch.Sink. Evidence that the older copy lacks is written again.
+func (t *Tracker) Restore(entries []logservice.KeyedEntry) { t.Reset(entries) }
+
 // Apply implements watch.Sink.
 func (t *Tracker) Apply(entries []logservice.KeyedEntry) {
 	now := time.Now()
--- a/internal/watch/snapshot.go
+++ b/internal/watch/snapshot.go
@@ -11,14 +11,13 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/logservice"
 )
 
-// Snapshot is the newest entry of each key of a stream, up to an offset.
+// Snapshot is the newest entry of each key of a stream, up to a position.
 type Snapshot struct {
-	Offset ident.Offset // entries at and after it are not included
-	Data   []byte       // compressed entries
+	Position logservice.Position // entries at and after it are not included
+	Data     []byte              // compressed entries
 }
 
 // SnapshotSource gets snapshots from other processes that follow a stream.
@@ -43,14 +42,14 @@
 type newestEntries struct {
 	mu      sync.Mutex // guards all below
 	values  map[string][]byte
-	next    ident.Offset // values include all entries before it
+	next    logservice.Position // values include all entries before it
 	loaded  bool
 	cached  Snapshot
 	builtAt time.Time // of cached; zero if there is none
 }
 
 // reset replaces all entries.
-func (n *newestEntries) reset(entries []logservice.KeyedEntry, next ident.Offset) {
+func (n *newestEntries) reset(entries []logservice.KeyedEntry, next logservice.Position) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.values, n.loaded, n.next, n.builtAt = make(map[string][]byte, len(entries)), true, next, time.Time{}
@@ -58,7 +57,7 @@
 }
 
 // apply adds entries that follow.
-func (n *newestEntries) apply(entries []logservice.KeyedEntry, next ident.Offset) {
+func (n *newestEntries) apply(entries []logservice.KeyedEntry, next logservice.Position) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.add(entries)
@@ -93,7 +92,7 @@
 	if err != nil {
 		return Snapshot{}, false, err
 	}
-	n.cached, n.builtAt = Snapshot{Offset: n.next, Data: data}, now
+	n.cached, n.builtAt = Snapshot{Position: n.next, Data: data}, now
 	return n.cached, true, nil
 }
 
@@ -161,17 +160,22 @@
 		return false
 	}
 	w.events.Inc("snapshot_loaded")
-	w.logger.Info().Int("entries", len(entries)).Int64("offset", int64(snapshot.Offset)).Int("bytes", len(snapshot.Data)).
+	w.logger.Info().Int("entries", len(entries)).Int64("offset", int64(snapshot.Position.Offset)).Int("bytes", len(snapshot.Data)).
 		Msg("snapshot of another router loaded")
-	w.reset(entries, snapshot.Offset)
+	w.reset(entries, snapshot.Position)
 	return true
 }
 
 // reset passes the newest entry of every key to the sink.
-func (w *Watcher) reset(entries []logservice.KeyedEntry, next ident.Offset) {
-	w.nextOffset, w.loaded = next, true
+func (w *Watcher) reset(entries []logservice.KeyedEntry, next logservice.Position) {
+	restored := w.loaded && next.Era != w.next.Era
+	w.next, w.loaded = next, true
 	if w.newest != nil {
 		w.newest.reset(entries, next)
 	}
+	if restored {
+		w.sink.Restore(entries)
+		return
+	}
 	w.sink.Reset(entries)
 }
--- a/internal/watch/snapshot_test.go
+++ b/internal/watch/snapshot_test.go
@@ -97,9 +97,11 @@
 // offset the log has trimmed, is not used, and is asked for once.
 func TestUnusableSnapshotIsReplacedByTheLog(t *testing.T) {
 	cases := map[string]func(s Snapshot, log *fakeLog) Snapshot{
-		"not compressed": func(s Snapshot, _ *fakeLog) Snapshot { return Snapshot{Offset: s.Offset, Data: []byte("x")} },
-		"cut off":        func(s Snapshot, _ *fakeLog) Snapshot { return Snapshot{Offset: s.Offset, Data: s.Data[:len(s.Data)/2]} },
-		"empty":          func(s Snapshot, _ *fakeLog) Snapshot { return Snapshot{Offset: s.Offset} },
+		"not compressed": func(s Snapshot, _ *fakeLog) Snapshot { return Snapshot{Position: s.Position, Data: []byte("x")} },
+		"cut off": func(s Snapshot, _ *fakeLog) Snapshot {
+			return Snapshot{Position: s.Position, Data: s.Data[:len(s.Data)/2]}
+		},
+		"empty": func(s Snapshot, _ *fakeLog) Snapshot { return Snapshot{Position: s.Position} },
 		"trimmed": func(s Snapshot, log *fakeLog) Snapshot {
 			log.add("b", "2")
 			log.update(func() { log.first = 2 })
@@ -142,7 +144,7 @@
 		require.Equal(t, first, second)
 		time.Sleep(snapshotReuse)
 		third, _, _ := w.Snapshot()
-		require.Greater(t, third.Offset, first.Offset)
+		require.Greater(t, third.Position.Offset, first.Position.Offset)
 	})
 }
 
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -12,7 +12,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/camphorlever/camphorlever/internal/counter"
-	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/logservice"
 )
 
@@ -20,7 +19,7 @@
 // traffic for a while must fail by itself.
 type Log interface {
 	logservice.Pager
-	ReadKeyed(ctx context.Context, stream logservice.Stream, from ident.Offset, wait time.Duration) ([]logservice.KeyedEntry, ident.Offset, error)
+	ReadKeyed(ctx context.Context, stream logservice.Stream, from logservice.Position, wait time.Duration) (logservice.KeyedPage, error)
 }
 
 // Sink receives the entries that a watcher reads. Its methods are called one at
@@ -28,6 +27,10 @@
 type Sink interface {
 	// Reset passes the newest entry of every key.
 	Reset(entries []logservice.KeyedEntry)
+	// Restore passes the newest entry of every key after the log came back from an older
+	// copy. Entries may be older than known ones, and a missing key may only be missing
+	// in the copy; each writer writes its entries again.
+	Restore(entries []logservice.KeyedEntry)
 	// Apply passes the entries that were added since, in order.
 	Apply(entries []logservice.KeyedEntry)
 	// SetReachable reports whether the last call to the log succeeded.
@@ -65,7 +68,7 @@
 	logger zerolog.Logger
 	events *counter.Set
 
-	nextOffset    ident.Offset             // of the next read; only Run uses it
+	next          logservice.Position      // of the next read; only Run uses it
 	loaded        bool                     // Reset was called; only Run uses it
 	source        SnapshotSource           // nil if snapshots are not shared
 	newest        *newestEntries           // nil if snapshots are not shared
@@ -166,7 +169,7 @@
 			continue
 		}
 		if failures > 0 {
-			w.logger.Info().Int("failures", failures).Int64("offset", int64(w.nextOffset)).Msg("log is available again")
+			w.logger.Info().Int("failures", failures).Int64("offset", int64(w.next.Offset)).Msg("log is available again")
 		}
 		failures = 0
 		w.recordSuccess(begun.Add(heldFor))
@@ -214,20 +217,28 @@
 	if !w.loaded && !w.loadSnapshot(ctx) {
 		return true, w.load(ctx)
 	}
-	entries, _, err := w.log.ReadKeyed(ctx, w.stream, w.nextOffset, wait)
-	if errors.Is(err, logservice.ErrTrimmed) {
+	page, err := w.log.ReadKeyed(ctx, w.stream, w.next, wait)
+	switch {
+	case errors.Is(err, logservice.ErrRestored):
+		w.events.Inc("restored")
+		w.logger.Warn().Int64("era", int64(w.next.Era)).Int64("offset", int64(w.next.Offset)).
+			Msg("log was restored from an older copy; the newest entry of each key is loaded again")
+		return true, w.load(ctx)
+	case errors.Is(err, logservice.ErrTrimmed):
 		w.events.Inc("trimmed")
-		w.logger.Info().Int64("offset", int64(w.nextOffset)).Msg("entries were trimmed; the newest of each key are loaded again")
+		w.logger.Info().Int64("offset", int64(w.next.Offset)).Msg("entries were trimmed; the newest of each key are loaded again")
 		return true, w.load(ctx)
-	}
-	if err != nil || len(entries) == 0 {
+	case err != nil:
 		return false, err
 	}
-	w.nextOffset = entries[len(entries)-1].Offset + 1
+	w.next = page.Next
+	if len(page.Entries) == 0 {
+		return false, nil
+	}
 	if w.newest != nil {
-		w.newest.apply(entries, w.nextOffset)
+		w.newest.apply(page.Entries, w.next)
 	}
-	w.sink.Apply(entries)
+	w.sink.Apply(page.Entries)
 	return true, nil
 }
 
@@ -251,7 +262,7 @@
 func (w *Watcher) recordFailure(err error, failures int) {
 	w.events.Inc("failed")
 	if failures == 0 {
-		w.logger.Warn().Err(err).Int64("offset", int64(w.nextOffset)).Msg("log is unavailable; the last known state is kept")
+		w.logger.Warn().Err(err).Int64("offset", int64(w.next.Offset)).Msg("log is unavailable; the last known state is kept")
 	}
 	w.sink.SetReachable(false)
 	w.mu.Lock()
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -24,6 +24,7 @@
 // trimmed.
 type fakeLog struct {
 	mu        sync.Mutex
+	era       logservice.Era
 	entries   []logservice.KeyedEntry
 	first     ident.Offset // offset of the first entry that is not trimmed
 	silent    bool         // calls are never answered
@@ -36,7 +37,7 @@
 	added     chan struct{}
 }
 
-func newFakeLog() *fakeLog { return &fakeLog{added: make(chan struct{})} }
+func newFakeLog() *fakeLog { return &fakeLog{era: 1, added: make(chan struct{})} }
 
 func (l *fakeLog) add(key, value string) {
 	l.mu.Lock()
@@ -87,7 +88,7 @@
 	for _, e := range l.entries {
 		newest[e.Key] = e
 	}
-	page := logservice.NewestPage{End: ident.Offset(len(l.entries))}
+	page := logservice.NewestPage{End: logservice.Position{Era: l.era, Offset: ident.Offset(len(l.entries))}}
 	for _, key := range slices.Sorted(maps.Keys(newest)) {
 		if e := newest[key]; e.Value == nil || key <= after {
 			continue
@@ -101,42 +102,64 @@
 	return page, nil
 }
 
-func (l *fakeLog) ReadKeyed(ctx context.Context, _ logservice.Stream, from ident.Offset, wait time.Duration) ([]logservice.KeyedEntry, ident.Offset, error) {
+func (l *fakeLog) ReadKeyed(ctx context.Context, _ logservice.Stream, from logservice.Position, wait time.Duration) (logservice.KeyedPage, error) {
 	if err := l.simulateCall(ctx, wait); err != nil {
-		return nil, 0, err
+		return logservice.KeyedPage{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		l.mu.Lock()
-		if from < l.first {
+		if from.Era != l.era {
 			l.mu.Unlock()
-			return nil, 0, logservice.ErrTrimmed
+			return logservice.KeyedPage{}, logservice.ErrRestored
 		}
-		if int(from) < len(l.entries) {
-			found, end := append([]logservice.KeyedEntry(nil), l.entries[from:]...), ident.Offset(len(l.entries))
+		if from.Offset < l.first {
 			l.mu.Unlock()
-			return found, end, nil
+			return logservice.KeyedPage{}, logservice.ErrTrimmed
+		}
+		if int(from.Offset) < len(l.entries) {
+			found := append([]logservice.KeyedEntry(nil), l.entries[from.Offset:]...)
+			l.mu.Unlock()
+			return logservice.KeyedPage{Entries: found, Next: from.After(len(found))}, nil
 		}
 		added := l.added
 		l.mu.Unlock()
 		select {
 		case <-added:
 		case <-timer.C:
-			return nil, from, nil
+			return logservice.KeyedPage{Next: from}, nil
 		case <-ctx.Done():
-			return nil, 0, logservice.Unavailable(ctx.Err())
+			return logservice.KeyedPage{}, logservice.Unavailable(ctx.Err())
 		}
 	}
 }
 
+// restore goes back to the first entries, in a new era.
+func (l *fakeLog) restore(entries int) {
+	l.update(func() {
+		l.era++
+		l.entries = l.entries[:entries:entries]
+		close(l.added)
+		l.added = make(chan struct{})
+	})
+}
+
 // fakeSink holds the newest values.
 type fakeSink struct {
 	mu        sync.Mutex
 	values    map[string]string
+	restores  int
 	reachable bool
 }
 
+func (s *fakeSink) Restore(entries []logservice.KeyedEntry) {
+	s.mu.Lock()
+	s.restores++
+	s.mu.Unlock()
+	s.Apply(entries)
+}
+
 func (s *fakeSink) Reset(entries []logservice.KeyedEntry) {
 	s.mu.Lock()
 	s.values = map[string]string{}
@@ -329,3 +352,66 @@
 		require.Zero(t, time.Since(begun))
 	})
 }
+
+// TestEntriesAtOffsetsGivenOutAgainAreRead guards against a watcher that goes on from its
+// next offset after the log was restored from an older copy.
+func TestEntriesAtOffsetsGivenOutAgainAreRead(t *testing.T) {
+	for name, later := range map[string]int{"log is shorter": 0, "log has the same length": 1, "log is longer": 3} {
+		t.Run(name, func(t *testing.T) {
+			runWatcher(t, func(t *testing.T, log *fakeLog, s *fakeSink, _ *Watcher) {
+				log.add("b", "2")
+				time.Sleep(time.Second)
+				log.update(func() { log.down = true })
+				time.Sleep(time.Second)
+				log.restore(1)
+				log.add("c", "3")
+				for i := range later {
+					log.add(fmt.Sprint("d", i), "4")
+				}
+				log.update(func() { log.down = false })
+				time.Sleep(2 * time.Second)
+				require.Equal(t, "3", s.get("c"))
+				require.Equal(t, "2", s.get("b"), "the copy lacks it")
+				require.Equal(t, 1, s.restores)
+				log.add("c", "5")
+				time.Sleep(time.Second)
+				require.Equal(t, "5", s.get("c"))
+			})
+		})
+	}
+}
+
+func TestLoadStartsOverIfTheLogIsRestoredBetweenPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, s := newFakeLog(), &fakeSink{}
+		for i := range 50 {
+			log.add(fmt.Sprintf("k%02d", i), "1")
+		}
+		log.pageSize, log.delay = 10, 100*time.Millisecond
+		go New(log, "stream", s, timing, zerolog.Nop()).Run(t.Context())
+		time.Sleep(250 * time.Millisecond) // two pages
+		log.restore(5)
+		log.add("k00", "2")
+		time.Sleep(3 * time.Second)
+		require.Equal(t, "2", s.get("k00"))
+		require.Empty(t, s.get("k10"), "of the time before the restore")
+	})
+}
+
+func TestSnapshotOfAnEarlierEraIsFollowedByTheRestoredLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		log.add("a", "1")
+		log.add("b", "1")
+		snapshot := snapshotOf(t, log)
+		log.restore(1)
+		log.add("c", "2")
+		log.add("a", "3")
+		sink := &fakeSink{}
+		startShared(t, log, sink, &fixedSource{snapshot: snapshot, found: true})
+		synctest.Wait()
+		require.Equal(t, "2", sink.get("c"), "written at an offset that the snapshot includes")
+		require.Equal(t, "3", sink.get("a"))
+		require.Equal(t, "1", sink.get("b"))
+	})
+}
