prepaid: no account gets more tokens because the log came back older

Cause: the log acknowledged draws, came back from a copy that lacks them, and the ledger took the copy for the truth. The class of fault: an acknowledged write taken for a durable one.

A budget entry now names what each incarnation has drawn, so that two copies merge without a decision; what is read is merged with what is known and never replaces it. A new era has no marker in the stream; until there is one, nothing is drawn and requests are served from local balances. The owners ask all routers for their copies, write what the log lacks, and then the marker. Each draw is announced to the other owners before its tokens are used, so that it survives its router. An append acknowledged in an earlier era than another router has seen, one that matches at an offset given out again, and one that takes effect late grant nothing. If no owner remembers the time before the restore, the tokens that forgotten routers may have used are held back, by their published rates.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -199,7 +199,7 @@
 	r.orders = evacuation.New(logger, time.Now)
 	r.metrics.registry.MustRegister(ordersCollector{r.orders})
 	r.servers.WithholdDataCentres(r.orders.InForce)
-	r.settings = &settingsSink{decoder: o.Decoder, log: r.log, onChange: r.settingsChanged}
+	r.settings = &settingsSink{decoder: o.Decoder, log: r.log, onChange: r.settingsChanged, onRestore: r.logRestored}
 	r.settings.orders = &evacuationSink{decoder: o.Decoder, orders: r.orders, servers: r.servers, placer: r.placer, log: r.log}
 	r.settings.watcher = watch.New(log, o.StreamSettings, r.settings, settingsTiming, logger)
 	r.sendGate = newSendGate(r.orders, r.settings.watcher, o.EvacuationTimeout)
@@ -220,6 +220,7 @@
 		r.placer.ShareLoads(r.loads)
 	}
 	r.balances = prepaid.NewLocalBalances(log, streams, incarnation, r.settings.Current, r.peerClient, logger)
+	r.balances.ObserveLogGap(r.settings.watcher.GapBefore)
 	r.quarantine = quarantine.New(logger)
 	r.quarantineWatcher = watch.New(log, o.StreamQuarantine, r.quarantine, quarantineTiming, logger)
 	r.chain = filter.Chain(
@@ -244,6 +245,9 @@
 	return r
 }
 
+// logRestored is called after the log came back from an older copy of itself.
+func (r *Router) logRestored() { r.balances.LogRestored() }
+
 // settingsChanged is called with new settings.
 func (r *Router) settingsChanged(s *catalog.Settings) {
 	if r.cold != nil {
@@ -297,6 +301,7 @@
 	}
 	rpcServer := rpc.NewServer(r.options.FleetKey)
 	methods := peers.NewMethods(r.balances, r.snapshot, r.quarantine)
+	methods.ServeLedger(r.balances)
 	if r.loads != nil {
 		methods.ServeLoads(r.loads)
 	}
--- a/internal/entry/sinks.go
+++ b/internal/entry/sinks.go
@@ -36,6 +36,9 @@
 	watcher  *watch.Watcher
 	onChange func(*catalog.Settings)
 	orders   *evacuationSink
+	// onRestore is called after the log came back from an older copy; nil if nothing
+	// depends on it.
+	onRestore func()
 }
 
 // Current implements route.Settings.
@@ -59,7 +62,12 @@
 
 // Restore implements watch.Sink. An order that the older copy lacks stays in force until
 // its revocation is read.
-func (p *settingsSink) Restore(entries []logservice.KeyedEntry) { p.Apply(entries) }
+func (p *settingsSink) Restore(entries []logservice.KeyedEntry) {
+	p.Apply(entries)
+	if p.onRestore != nil {
+		p.onRestore()
+	}
+}
 
 // SetReachable implements watch.Sink.
 func (p *settingsSink) SetReachable(bool) {}
--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -25,7 +25,8 @@
 	lender    Lender
 	snapshots Snapshots
 	evidence  EvidenceSink
-	loads     LoadSink // nil if no loads are exchanged
+	ledger    LedgerKeeper // nil if copies of the ledger are not shared
+	loads     LoadSink     // nil if no loads are exchanged
 }
 
 // NewMethods returns the methods for the balances of lender, for snapshots and for
--- a/internal/prepaid/balances.go
+++ b/internal/prepaid/balances.go
@@ -11,6 +11,7 @@
 
 	"github.com/camphorlever/camphorlever/internal/catalog"
 	"github.com/camphorlever/camphorlever/internal/counter"
+	"github.com/camphorlever/camphorlever/internal/logservice"
 )
 
 // Timeouts of requests that wait for tokens.
@@ -83,6 +84,8 @@
 	shards      atomic.Pointer[[]*shard] // nil until the layout was loaded
 	accounts    atomic.Pointer[accountsByShard]
 	settling    settling
+	pauses      pauseDetector
+	logGap      func(era logservice.Era) time.Duration // nil if unknown
 
 	mu       sync.Mutex // guards the map; each balance has its own lock
 	balances map[string]*localBalance
--- a/internal/prepaid/cluster_test.go
+++ b/internal/prepaid/cluster_test.go
@@ -199,6 +199,26 @@
 	return false, nil
 }
 
+func (n clusterPeers) Copies(_ context.Context, names []string, args CopyArgs, receive func(string, CopyReply)) {
+	for _, name := range names {
+		i, _ := strconv.Atoi(name)
+		if n.cluster.routers[i] == nil || n.cluster.cutOff(i) || n.cluster.isDown(n.self) {
+			continue
+		}
+		if reply, err := n.cluster.routers[i].LedgerCopy(args); err == nil {
+			receive(name, reply)
+		}
+	}
+}
+
+func (n clusterPeers) Witness(_ context.Context, names []string, args WitnessArgs) bool {
+	witnessed := false
+	for _, i := range n.callOrder(names, false) {
+		witnessed = (!n.cluster.cutOff(i) && n.cluster.routers[i].Witness(args) == nil) || witnessed
+	}
+	return witnessed
+}
+
 func (f *cluster) settings() *catalog.Settings {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -246,6 +266,10 @@
 	asked, served, used int64
 }
 
+func (r loadResult) plus(o loadResult) loadResult {
+	return loadResult{r.asked + o.asked, r.served + o.served, r.used + o.used}
+}
+
 // sendLoad sends requests to random routers for span, perSecond to each router on
 // average. A request uses 90% of its bound, which is random around the given
 // bound.
--- a/internal/prepaid/controller.go
+++ b/internal/prepaid/controller.go
@@ -40,6 +40,7 @@
 	if bs.peers != nil {
 		loops.Go(func() { supervise.Run(ctx, bs.log, "reclaim loans", bs.runReclaim) })
 	}
+	loops.Go(func() { supervise.Run(ctx, bs.log, "detect pauses", bs.pauses.run) })
 	for i := range shards {
 		loops.Go(func() {
 			supervise.Run(ctx, bs.log, "rebalance shard "+shards[i].name, func(ctx context.Context) { bs.runShard(ctx, shards, i) })
@@ -53,12 +54,15 @@
 	s := shards[index]
 	for sleepOrWake(ctx, bs.rebalanceInterval(s), s.wakeup) {
 		accounts, version := bs.accountsOf(index, len(shards))
-		bs.rebalance(ctx, s, accounts, version)
+		bs.rebalance(ctx, s, index, accounts, version)
 	}
 }
 
 // rebalanceInterval returns the time until the next round of a shard.
 func (bs *LocalBalances) rebalanceInterval(s *shard) time.Duration {
+	if s.ledger.Unsettled() {
+		return collectInterval
+	}
 	if _, isOwner := s.ownersIn(bs.fleet()); isOwner {
 		return minRebalanceInterval
 	}
@@ -78,21 +82,24 @@
 }
 
 // rebalance makes all planned changes of a shard in one append, if at least one of
-// them is urgent.
-func (bs *LocalBalances) rebalance(ctx context.Context, s *shard, accounts []*catalog.Account, version int64) {
+// them is urgent or the log lacks entries that this router knows.
+func (bs *LocalBalances) rebalance(ctx context.Context, s *shard, index int, accounts []*catalog.Account, version int64) {
 	if s.needsRefresh.Swap(false) || bs.viewExpired(s) {
 		if err := s.ledger.Update(ctx); err != nil {
 			bs.events.Inc("look_failed")
 			bs.log.Warn().Err(err).Msg("budget entries could not be read before refusing a request")
 		}
 	}
+	if !bs.settle(ctx, s, index) {
+		return
+	}
 	ahead := bs.mayDrawAhead(bs.fleet(), time.Now())
 	all := make([]plannedChange, 0, len(accounts))
 	for _, a := range accounts {
 		all = append(all, bs.planChange(s, a, version, ahead))
 	}
 	all = bs.giveBack(ctx, all)
-	if !slices.ContainsFunc(all, func(d plannedChange) bool { return d.urgent }) {
+	if !slices.ContainsFunc(all, func(d plannedChange) bool { return d.urgent }) && !s.ledger.HasUnwritten() {
 		return
 	}
 	all = slices.DeleteFunc(all, func(d plannedChange) bool {
@@ -108,11 +115,23 @@
 		bs.handleApplyError(err, all)
 		return
 	}
+	bs.announceDraws(ctx, s, index, drawnAccounts(changes, results))
 	for i, d := range all {
 		bs.applyResult(d, results[i], now)
 	}
 }
 
+// drawnAccounts returns the accounts of which tokens were drawn.
+func drawnAccounts(changes []Change, results []Result) []string {
+	var accounts []string
+	for i, r := range results {
+		if r.Granted > 0 {
+			accounts = append(accounts, changes[i].Account)
+		}
+	}
+	return accounts
+}
+
 // maxOwnerViewAge is how old an owner's view of the ledger may be. An owner whose balance
 // lasts makes no appends, and would not notice that the account is nearly used up, so that
 // its balance is needed by the owner that gathers the rest.
--- a/internal/prepaid/entry.go
+++ b/internal/prepaid/entry.go
@@ -27,8 +27,16 @@
 	// reply can find out whether the append took effect.
 	Incarnation string `msgpack:"l"`
 	Write       uint64 `msgpack:"w"`
+	// Era is the era of the log in which the entry was planned. An append that takes
+	// effect late may be written in a later one.
+	Era logservice.Era `msgpack:"e,omitempty"`
 	// Count is the number of writes of the account's entry.
 	Count uint64 `msgpack:"n"`
+	// Parts says how much of Drawn belongs to which incarnation. After the log was
+	// restored from an older copy, what is missing there is found by comparing parts.
+	Parts map[writer]part `msgpack:"k,omitempty"`
+	// Folds is how many parts were removed, their tokens remaining in Drawn.
+	Folds uint64 `msgpack:"f,omitempty"`
 	// Rates is how fast the account's owners use it, by node.
 	Rates map[string]rate `msgpack:"r,omitempty"`
 }
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -1,10 +1,12 @@
 package prepaid
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/camphorlever/camphorlever/internal/counter"
+	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/logservice"
 )
 
@@ -52,6 +55,10 @@
 // effect. The tokens that it would have drawn are not granted to any router.
 var ErrUnresolved = errors.New("outcome of the append is unknown: its entries were trimmed and replaced")
 
+// errUnsettled means that nothing is drawn yet, since the log was restored from an older
+// copy and the draws that it lost are not all written again.
+var errUnsettled = errors.New("draws that the log has lost are being collected")
+
 // NotWrittenError means that a change was not written and will not be, because
 // reading the log before it failed, or ctx ended after a conflict.
 type NotWrittenError struct{ Cause error }
@@ -81,9 +88,14 @@
 	maxConflictPause = 250 * time.Millisecond
 )
 
-// Ledger is a router's copy of the budget entries of all accounts. Load, Update
-// and Apply must not run concurrently; the other methods are safe for concurrent
+// Ledger is a router's copy of the budget entries of all accounts. Load, Update,
+// Apply and Settle must not run concurrently; the other methods are safe for concurrent
 // use.
+//
+// The log may come back from an older copy of itself and lose draws that it has
+// acknowledged. So the entries that are read never replace the known ones; both are
+// merged, and what the log lacks is written again. Nothing is drawn in a new era of the
+// log until its marker shows that the copies of the other routers were merged too.
 type Ledger struct {
 	log         Log
 	stream      logservice.Stream
@@ -92,15 +104,31 @@
 	logger      zerolog.Logger
 	events      *counter.Set
 
-	mu        sync.Mutex // guards entries and readAt, which only the caller of Apply changes
+	mu        sync.Mutex // guards all below up to fence
 	entries   map[string]entry
+	own       map[string]ownPart  // what this incarnation has drawn, by account
+	unwritten map[string]struct{} // accounts of which the log lacks a part
 	readAt    time.Time           // when the entries were known to be current
+	settled   logservice.Era      // era of which the log holds the marker
+	markerAt  ident.Offset        // of the marker
+	firstEra  logservice.Era      // era in which entries were first read
+	unsettled logservice.Era      // era without a marker that was last seen
+	fence     logservice.Era      // appends that were acknowledged in an earlier era count as lost
+
 	end       logservice.Position // up to which the entries are known; only used by the caller of Apply
 	loaded    bool                // only used by the caller of Apply
 	writeSeq  uint64              // appends made so far; only used by the caller of Apply
 	contended bool                // the last read returned new entries of other writers; only used by the caller of Apply
 
 	unavailableSince atomic.Pointer[time.Time] // time of the first unanswered call; nil if the log answers
+	unsettledSince   atomic.Pointer[time.Time] // when a new era of the log was first seen; nil once it has a marker
+}
+
+// ownPart is a part of this incarnation. Its writer changes if the part was folded.
+type ownPart struct {
+	part
+	writer writer
+	folded int // parts that were folded
 }
 
 // NewLedger returns a ledger for one incarnation of a router. The name of the
@@ -116,6 +144,8 @@
 		logger:      logger.With().Str("part", "ledger").Logger(),
 		events:      counter.NewSet("ledger"),
 		entries:     map[string]entry{},
+		own:         map[string]ownPart{},
+		unwritten:   map[string]struct{}{},
 	}
 }
 
@@ -129,18 +159,52 @@
 	if err := newest.Read(call, l.log, l.stream); err != nil {
 		return err
 	}
-	entries := make(map[string]entry, len(newest.Entries))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	read := make(map[string]struct{}, len(newest.Entries))
+	slices.SortFunc(newest.Entries, func(a, b logservice.KeyedEntry) int { return cmp.Compare(a.Offset, b.Offset) })
 	for _, raw := range newest.Entries {
-		e, err := decode(raw)
-		if err != nil {
+		if err := l.apply(raw); err != nil {
 			return err // an undecodable entry must not count as zero tokens drawn
 		}
-		entries[raw.Key] = e
+		read[raw.Key] = struct{}{}
 	}
-	l.mu.Lock()
-	l.entries, l.readAt = entries, time.Now()
-	l.mu.Unlock()
-	l.end, l.loaded = newest.End, true
+	for account := range l.entries {
+		if _, found := read[account]; !found {
+			l.unwritten[account] = struct{}{}
+		}
+	}
+	l.end, l.loaded, l.readAt = newest.End, true, time.Now()
+	l.recordEra()
+	return nil
+}
+
+// apply merges an entry that was read with the known one. The lock is held.
+func (l *Ledger) apply(raw logservice.KeyedEntry) error {
+	if raw.Key == markerKey {
+		era, err := decodeMarker(raw)
+		l.settled, l.markerAt = era, raw.Offset
+		return err
+	}
+	read, err := decode(raw)
+	if err != nil {
+		return err
+	}
+	if read.Era < l.settled && raw.Offset > l.markerAt {
+		// An append of an earlier era took effect late. Its entry may lack draws.
+		l.events.Inc("late_append")
+		l.logger.Warn().Str("account", raw.Key).Int64("offset", int64(raw.Offset)).Int64("era", int64(read.Era)).
+			Msg("budget entry of an earlier era was written late")
+		l.settled = 0
+	}
+	delete(l.unwritten, raw.Key)
+	known := l.entries[raw.Key]
+	if read.covers(known) {
+		l.entries[raw.Key] = read
+		return nil
+	}
+	l.entries[raw.Key] = merge(read, known)
+	l.unwritten[raw.Key] = struct{}{}
 	return nil
 }
 
@@ -172,7 +236,7 @@
 	return tokens, owners
 }
 
-// Apply makes changes in one append. It retries until the outcome of the append
+// Apply makes changes, and writes what the log lacks, in one append. It retries until the outcome of the append
 // is known or ctx ends. The results are in the order of the changes. It fails
 // with a NotWrittenError if nothing was or will be written, and with ErrUnresolved if the
 // outcome can't be determined.
@@ -188,6 +252,9 @@
 		}
 		fresh = true
 	}
+	if l.Unsettled() {
+		return nil, &NotWrittenError{Cause: errUnsettled}
+	}
 	for conflicts := 0; ; conflicts++ {
 		results, entries := l.plan(changes)
 		if !fresh && anyShortfall(changes, results) {
@@ -195,12 +262,15 @@
 				return nil, &NotWrittenError{Cause: err}
 			}
 			fresh = true
+			if l.Unsettled() {
+				return nil, &NotWrittenError{Cause: errUnsettled}
+			}
 			results, entries = l.plan(changes)
 		}
 		if len(entries) == 0 {
 			return results, nil
 		}
-		applied, err := l.write(ctx, entries)
+		applied, err := l.write(ctx, entries, nil)
 		if err != nil {
 			return nil, err
 		}
@@ -209,6 +279,9 @@
 		}
 		l.events.Inc("conflicts")
 		fresh = true
+		if l.Unsettled() {
+			return nil, &NotWrittenError{Cause: errUnsettled}
+		}
 		if !sleepOrWake(ctx, conflictPause(conflicts), nil) {
 			return nil, &NotWrittenError{Cause: errors.Wrap(ctx.Err(), "append of budget entries")}
 		}
@@ -269,54 +342,71 @@
 		if c.SettingsVersion > e.Version {
 			e.Paid, e.Version = c.Paid, c.SettingsVersion
 		}
-		before := e.Drawn
 		results[i].FreeBefore = e.Paid - e.Drawn
 		if grant := min(c.Draw, results[i].FreeBefore); grant > 0 && grant >= c.MinDraw {
-			e.Drawn += grant
 			results[i].Granted = grant
 		}
-		e.Drawn -= c.Return
-		if e.Drawn == before {
+		change := results[i].Granted - c.Return
+		if change == 0 {
 			continue
 		}
-		e.Count++
+		e = l.withOwnChange(c.Account, e, change)
 		if c.Owner {
 			e.Rates = e.withRate(l.node, c.Rate)
 		}
 		planned[c.Account] = e
 	}
+	for account := range l.unwritten {
+		if _, alreadyPlanned := planned[account]; !alreadyPlanned && len(planned) < len(changes)+maxRepairs {
+			planned[account] = l.withOwnChange(account, l.entries[account], 0)
+		}
+	}
 	return results, planned
 }
 
-// write appends entries at the offset that they were planned for. It reports
-// whether they took effect; if it returns false without an error they never will.
-func (l *Ledger) write(ctx context.Context, planned map[string]entry) (bool, error) {
+// withOwnChange returns the next entry of an account, in which this incarnation has drawn
+// more tokens, or fewer. The lock is held.
+func (l *Ledger) withOwnChange(account string, e entry, tokens int64) entry {
+	e.Count++
+	own, found := l.own[account]
+	if !found && tokens == 0 {
+		return e
+	}
+	if _, listed := e.Parts[own.writer]; found && !listed && e.holds(own.writer, own.part) {
+		own = ownPart{folded: own.folded + 1}
+	}
+	if own.writer == 0 {
+		own.writer = writerOf(l.incarnation + "/" + strconv.Itoa(own.folded))
+	}
+	own.Seq = max(e.Count, own.Seq+1, e.Parts[own.writer].Seq+1)
+	e.Count = own.Seq
+	l.own[account] = own // uses up the number, whatever becomes of the append
+	return e.withPart(own.writer, part{Net: own.Net + tokens, Seq: own.Seq})
+}
+
+// write appends entries at the position that they were planned for, and the marker of
+// the era if there is one. It reports whether they took effect; if it returns false
+// without an error they never will.
+func (l *Ledger) write(ctx context.Context, planned map[string]entry, marker *marker) (bool, error) {
 	l.writeSeq++
-	batch := make([]logservice.KeyedEntry, 0, len(planned))
-	accounts := slices.Sorted(maps.Keys(planned))
-	for _, account := range accounts {
-		e := planned[account]
-		e.Incarnation, e.Write = l.incarnation, l.writeSeq
-		raw, err := e.encode()
-		if err != nil {
-			return false, err
-		}
-		batch = append(batch, logservice.KeyedEntry{Key: account, Value: raw})
+	batch, err := l.encodeBatch(planned, marker)
+	if err != nil {
+		return false, err
 	}
 	at := l.end
-	for failures := 0; ; failures++ {
+	for {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		err := l.log.AppendAt(call, l.stream, at, batch...)
 		cancel()
 		l.events.Inc("appends")
-		l.recordAvailability(err == nil || errors.Is(err, logservice.ErrMoved))
+		restored := errors.Is(err, logservice.ErrRestored)
+		l.recordAvailability(err == nil || restored || errors.Is(err, logservice.ErrMoved))
 		if err == nil {
-			l.recordWrite(planned, at.After(len(batch)))
-			return true, nil
+			return l.recordWrite(planned, marker, at.After(len(batch)))
 		}
-		if errors.Is(err, logservice.ErrRestored) {
+		if restored {
 			l.loaded = false
-			return false, err
+			return false, l.abandon(planned, err)
 		}
 		if !errors.Is(err, logservice.ErrMoved) {
 			l.events.Inc("append_unknown")
@@ -326,34 +416,82 @@
 		switch {
 		case errors.Is(err, logservice.ErrRestored):
 			l.loaded = false
-			return false, err
+			return false, l.abandon(planned, err)
 		case errors.Is(err, logservice.ErrTrimmed):
-			return l.resolveTrimmed(ctx, accounts)
-		}
-		if err == nil && known {
-			return ours, nil
+			return l.resolveTrimmed(ctx, planned)
+		case err == nil && known && ours:
+			return l.confirm(planned, at.Era)
+		case err == nil && known:
+			return false, nil
 		}
 		// No entry is at the offset yet. Retrying the same append at the same
 		// offset is safe: only one of the attempts can take effect.
 		select {
 		case <-ctx.Done():
-			return false, errors.Wrap(ctx.Err(), "append of budget entries")
+			return false, l.abandon(planned, errors.Wrap(ctx.Err(), "append of budget entries"))
 		case <-time.After(retryDelay):
 		}
 	}
 }
 
-// Unavailable reports whether the log did not answer the last append or refresh.
+// encodeBatch returns the entries of an append, the marker last.
+func (l *Ledger) encodeBatch(planned map[string]entry, marker *marker) ([]logservice.KeyedEntry, error) {
+	batch := make([]logservice.KeyedEntry, 0, len(planned)+1)
+	for _, account := range slices.Sorted(maps.Keys(planned)) {
+		e := planned[account]
+		e.Incarnation, e.Write, e.Era = l.incarnation, l.writeSeq, l.end.Era
+		raw, err := e.encode()
+		if err != nil {
+			return nil, err
+		}
+		batch = append(batch, logservice.KeyedEntry{Key: account, Value: raw})
+	}
+	if marker != nil {
+		marker.Incarnation, marker.Write = l.incarnation, l.writeSeq
+		raw, err := marker.encode()
+		if err != nil {
+			return nil, err
+		}
+		batch = append(batch, logservice.KeyedEntry{Key: markerKey, Value: raw})
+	}
+	return batch, nil
+}
+
+// abandon ends an append whose outcome will not be known and returns the cause. What it
+// would have returned counts as returned, what it would have drawn as not drawn; both are
+// stated in the next append.
+func (l *Ledger) abandon(planned map[string]entry, cause error) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for account, e := range planned {
+		own, found := l.own[account]
+		if !found {
+			continue
+		}
+		own.Net = min(own.Net, e.Parts[own.writer].Net)
+		own.Seq++
+		l.own[account] = own
+		l.entries[account] = l.entries[account].withPart(own.writer, own.part)
+		l.unwritten[account] = struct{}{}
+	}
+	return cause
+}
+
+// Unavailable reports whether nothing can be drawn now: the log did not answer the last
+// append or refresh, or draws that it lost are being collected.
 func (l *Ledger) Unavailable() bool {
-	return l.unavailableSince.Load() != nil
+	return l.unavailableSince.Load() != nil || l.Unsettled()
 }
 
-// UnavailableFor returns how long the log has not answered; zero if it answers.
+// UnavailableFor returns how long nothing can be drawn; zero if tokens can be.
 func (l *Ledger) UnavailableFor() time.Duration {
-	if since := l.unavailableSince.Load(); since != nil {
-		return time.Since(*since)
+	longest := time.Duration(0)
+	for _, since := range []*time.Time{l.unavailableSince.Load(), l.unsettledSince.Load()} {
+		if since != nil {
+			longest = max(longest, time.Since(*since))
+		}
 	}
-	return 0
+	return longest
 }
 
 func (l *Ledger) recordAvailability(ok bool) {
@@ -370,15 +508,45 @@
 	}
 }
 
-func (l *Ledger) recordWrite(planned map[string]entry, end logservice.Position) {
+// recordWrite records the entries of an append that took effect.
+func (l *Ledger) recordWrite(planned map[string]entry, marker *marker, end logservice.Position) (bool, error) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	maps.Copy(l.entries, planned)
+	for account := range planned {
+		delete(l.unwritten, account)
+	}
+	if marker != nil {
+		l.settled, l.markerAt = marker.Era, end.Offset-1
+	}
 	l.end, l.readAt = end, time.Now()
+	l.recordEra()
+	l.mu.Unlock()
+	return l.confirm(planned, end.Era)
+}
+
+// confirm records the parts of this incarnation in an append that took effect in an era.
+// It fails with ErrRestored if the log is known to have been restored since: the append
+// may be lost.
+func (l *Ledger) confirm(planned map[string]entry, era logservice.Era) (bool, error) {
+	l.mu.Lock()
+	lost := era != 0 && era < l.fence
+	if !lost {
+		for account, e := range planned {
+			if own, found := l.own[account]; found {
+				own.part = e.Parts[own.writer]
+				l.own[account] = own
+			}
+		}
+	}
+	l.mu.Unlock()
+	if lost {
+		return false, l.abandon(planned, errors.Wrap(logservice.ErrRestored, "append of budget entries"))
+	}
+	return true, nil
 }
 
 // readBack reads the entries from a position on, and reports whether the first is
-// this incarnation's last append. That is not known while there are none.
+// of this incarnation's last append. That is not known while there are none.
 func (l *Ledger) readBack(ctx context.Context, at logservice.Position) (ours, known bool, err error) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -387,42 +555,60 @@
 	if err != nil {
 		return false, false, err
 	}
-	read := page.Entries
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.readAt = asked
-	l.contended = len(read) > 0
-	if len(read) == 0 {
+	l.contended = len(page.Entries) > 0
+	if len(page.Entries) == 0 {
 		return false, false, nil
 	}
-	for i, raw := range read {
-		e, err := decode(raw)
-		if err != nil {
-			return false, false, err
-		}
+	for i, raw := range page.Entries {
 		if i == 0 {
-			ours = e.Incarnation == l.incarnation && e.Write == l.writeSeq
+			incarnation, write, err := decodeAppend(raw)
+			if err != nil {
+				return false, false, err
+			}
+			ours = incarnation == l.incarnation && write == l.writeSeq
+		}
+		if err := l.apply(raw); err != nil {
+			return false, false, err
 		}
-		l.entries[raw.Key] = e
 	}
 	l.end = page.Next
+	l.recordEra()
 	return ours, true, nil
 }
 
-// resolveTrimmed looks in the newest entries for an append that was trimmed
-// before it was read back. If later entries have replaced all of its entries, the
-// outcome can't be determined.
-func (l *Ledger) resolveTrimmed(ctx context.Context, accounts []string) (bool, error) {
+// resolveTrimmed looks for the parts of an append that was trimmed before it was read
+// back. If it had no parts of this incarnation, its outcome can't be determined.
+func (l *Ledger) resolveTrimmed(ctx context.Context, planned map[string]entry) (bool, error) {
+	era := l.end.Era
 	l.loaded = false
 	if err := l.Load(ctx); err != nil {
-		return false, err
+		return false, l.abandon(planned, err)
+	}
+	if l.end.Era != era {
+		return false, l.abandon(planned, logservice.ErrRestored)
 	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, account := range accounts {
-		if e := l.entries[account]; e.Incarnation == l.incarnation && e.Write == l.writeSeq {
-			return true, nil // an append is atomic
+	applied, decided := false, false
+	for account, e := range planned {
+		own, found := l.own[account]
+		if !found {
+			continue
+		}
+		decided = true
+		if l.entries[account].Parts[own.writer].Seq == e.Parts[own.writer].Seq {
+			applied = true // an append is atomic
 		}
 	}
-	return false, ErrUnresolved
+	l.mu.Unlock()
+	switch {
+	case !decided:
+		return false, ErrUnresolved
+	case applied:
+		return l.confirm(planned, era)
+	default:
+		return false, nil
+	}
 }
--- a/internal/prepaid/lend.go
+++ b/internal/prepaid/lend.go
@@ -87,6 +87,12 @@
 	// ends. It returns false if no router is reachable. After an error, the router
 	// may or may not have received the tokens.
 	Transfer(ctx context.Context, first []string, others bool, args func(receiver string) TransferArgs) (sent bool, err error)
+	// Copies asks the named routers at the same time for their copies of the ledger. It
+	// calls receive with each reply, one at a time.
+	Copies(ctx context.Context, names []string, args CopyArgs, receive func(name string, reply CopyReply))
+	// Witness tells the named routers of entries that were written, and waits until one
+	// of them has answered. It returns false if none does.
+	Witness(ctx context.Context, names []string, args WitnessArgs) bool
 }
 
 // Lend lends tokens of the local balance to another router. An owner draws more if
--- /dev/null
+++ b/internal/prepaid/restore_test.go
@@ -0,0 +1,530 @@
+package prepaid
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/camphorlever/camphorlever/internal/logservice"
+)
+
+// TestRestoredLogNeverLetsAccountsOverspend guards against draws that the log has
+// acknowledged, lost and grants again: routers draw, return, crash and restart on a log
+// with faults that comes back from older copies, also twice in a row.
+func TestRestoredLogNeverLetsAccountsOverspend(t *testing.T) {
+	for seed := range uint64(300) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { newRestoreSchedule(seed).play(t) })
+		})
+	}
+}
+
+// restoreSchedule is a random schedule of draws, crashes and restores.
+type restoreSchedule struct {
+	r             *rand.Rand
+	log           *fakeLog
+	copies        []map[logservice.Stream]int
+	routers       map[int]*testRouter
+	paid, version int64
+	spent, lost   int64 // lost: held by incarnations that crashed
+	crashes       bool
+	restores      int
+}
+
+func newRestoreSchedule(seed uint64) *restoreSchedule {
+	r := rand.New(rand.NewPCG(seed, 11))
+	s := &restoreSchedule{r: r, log: &fakeLog{era: 1}, routers: map[int]*testRouter{}, paid: 2000, version: 1, crashes: seed%2 == 0}
+	if seed%3 != 0 {
+		s.log.faults = r
+	}
+	return s
+}
+
+func (s *restoreSchedule) play(t *testing.T) {
+	for step := range 400 {
+		s.copies = append(s.copies, s.log.copyStreams())
+		node := s.r.IntN(4)
+		l := s.routers[node]
+		if l == nil {
+			l = &testRouter{ledger: newTestLedger(s.log, fmt.Sprintf("%d/%d", node, step))}
+			s.routers[node] = l
+		}
+		switch s.r.IntN(10) {
+		case 0, 1, 2, 3:
+			s.draw(node, l, s.r.Int64N(200))
+		case 4:
+			used := s.r.Int64N(l.balance + 1)
+			l.balance, s.spent = l.balance-used, s.spent+used
+		case 5:
+			s.giveBack(l, s.r.Int64N(l.balance+1))
+		case 6:
+			if s.crashes && s.isRemembered(node) {
+				s.lost += l.balance
+				delete(s.routers, node)
+			}
+		case 7:
+			s.log.applyDelayed()
+		case 8:
+			if s.r.IntN(4) == 0 {
+				s.paid, s.version = s.paid+s.r.Int64N(300), s.version+1
+			}
+		case 9:
+			if s.r.IntN(3) == 0 {
+				s.restore()
+			}
+		}
+		require.LessOrEqual(t, s.spent+s.held(), s.paid, "step %d, %d restores", step, s.restores)
+	}
+	require.Positive(t, s.restores)
+	s.log.faults = nil
+	s.settleAll(t)
+	for _, l := range s.routers {
+		drawn, _ := l.ledger.Drawn("maps")
+		require.GreaterOrEqual(t, drawn, s.spent+s.held())
+		if !s.crashes {
+			require.Equal(t, s.spent+s.held(), drawn, "tokens are neither used nor free")
+		}
+	}
+}
+
+// isRemembered reports whether another router knows all that one knows.
+func (s *restoreSchedule) isRemembered(node int) bool {
+	known := s.routers[node].ledger.entries["maps"]
+	for other, o := range s.routers {
+		if other != node && o.ledger.entries["maps"].covers(known) {
+			return true
+		}
+	}
+	return false
+}
+
+// draw draws tokens and tells the other routers of it, as owners do.
+func (s *restoreSchedule) draw(node int, l *testRouter, tokens int64) {
+	s.settle(l)
+	results, err := applyFor(l, s.change(tokens, 0))
+	if err != nil || results[0].Granted == 0 {
+		return
+	}
+	written, err := l.ledger.CopyOf([]string{"maps"})
+	if err != nil {
+		panic(err)
+	}
+	for other, o := range s.routers {
+		if other != node {
+			_ = o.ledger.Observe(written)
+		}
+	}
+	l.balance += results[0].Granted
+}
+
+func (s *restoreSchedule) giveBack(l *testRouter, tokens int64) {
+	s.settle(l)
+	l.balance -= tokens
+	var unsent *NotWrittenError
+	if _, err := applyFor(l, s.change(0, tokens)); errors.As(err, &unsent) {
+		l.balance += tokens
+	}
+}
+
+func (s *restoreSchedule) change(draw, giveBack int64) Change {
+	return Change{Account: "maps", Paid: s.paid, SettingsVersion: s.version, Draw: draw, Return: giveBack}
+}
+
+// settle merges the copies of all routers if the log was restored.
+func (s *restoreSchedule) settle(l *testRouter) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	if l.ledger.Update(ctx) != nil || !l.ledger.Unsettled() {
+		return
+	}
+	era := l.ledger.Era()
+	for _, other := range s.routers {
+		entries, err := other.ledger.Copy(era)
+		if err != nil {
+			panic(err)
+		}
+		if err := l.ledger.MergeCopy(entries); err != nil {
+			panic(err)
+		}
+	}
+	_ = l.ledger.Settle(ctx, era, nil)
+}
+
+// settleAll has all routers write what the log lacks, and read what the others wrote.
+func (s *restoreSchedule) settleAll(t *testing.T) {
+	for range 3 {
+		for _, l := range s.routers {
+			s.settle(l)
+			_, err := l.ledger.Apply(t.Context(), nil)
+			require.NoError(t, err)
+		}
+	}
+	for _, l := range s.routers {
+		require.NoError(t, l.ledger.Update(t.Context()))
+		require.False(t, l.ledger.HasUnwritten())
+	}
+}
+
+// restore goes back to one of the last copies, and at times to an even older one again.
+func (s *restoreSchedule) restore() {
+	for range 1 + s.r.IntN(2) {
+		age := min(1+s.r.IntN(25), len(s.copies))
+		s.copies = s.copies[:len(s.copies)-age+1]
+		s.log.restore(s.copies[len(s.copies)-1])
+		s.restores++
+	}
+}
+
+func (s *restoreSchedule) held() int64 {
+	held := s.lost
+	for _, l := range s.routers {
+		held += l.balance
+	}
+	return held
+}
+
+func TestNothingIsDrawnBeforeLostDrawsAreCollected(t *testing.T) {
+	ctx := t.Context()
+	log := &fakeLog{era: 1}
+	a, b := newTestLedger(log, "a/1"), newTestLedger(log, "b/1")
+	change := []Change{{Account: "maps", Paid: 100, SettingsVersion: 1, Draw: 40}}
+	settleLedger(t, a)
+	_, err := b.Apply(ctx, change)
+	require.NoError(t, err, "a has written the marker of the era")
+	before := log.copyStreams()
+	_, err = a.Apply(ctx, change)
+	require.NoError(t, err)
+	log.restore(before)
+	require.NoError(t, b.Update(ctx))
+	var unsent *NotWrittenError
+	_, err = b.Apply(ctx, change)
+	require.ErrorAs(t, err, &unsent)
+	require.True(t, b.Unavailable(), "requests are not refused for good meanwhile")
+	entries, err := a.Copy(2)
+	require.NoError(t, err)
+	require.NoError(t, b.MergeCopy(entries))
+	settleLedger(t, b)
+	results, err := b.Apply(ctx, change)
+	require.NoError(t, err)
+	require.EqualValues(t, 20, results[0].Granted)
+	require.NoError(t, a.Update(ctx))
+	require.False(t, a.Unavailable(), "b has written the marker")
+}
+
+func settleLedger(t *testing.T, l *Ledger) {
+	t.Helper()
+	require.NoError(t, l.Update(t.Context()))
+	require.NoError(t, l.Settle(t.Context(), l.Era(), nil))
+}
+
+// TestDrawAcknowledgedBeforeTheRestoreIsNotGrantedAfterwards guards against a draw whose
+// acknowledgement is still on its way while another router collects the copies.
+func TestDrawAcknowledgedBeforeTheRestoreIsNotGrantedAfterwards(t *testing.T) {
+	log := &copyDuringAppend{fakeLog: &fakeLog{era: 1}}
+	a := newTestLedger(log, "a/1")
+	settleLedger(t, a)
+	log.during = func() {
+		_, err := a.Copy(2)
+		require.NoError(t, err)
+	}
+	_, err := a.Apply(t.Context(), []Change{{Account: "maps", Paid: 100, SettingsVersion: 1, Draw: 40}})
+	require.ErrorIs(t, err, logservice.ErrRestored)
+}
+
+// copyDuringAppend calls a function between an append and its reply.
+type copyDuringAppend struct {
+	*fakeLog
+	during func()
+}
+
+func (l *copyDuringAppend) AppendAt(ctx context.Context, stream logservice.Stream, at logservice.Position, entries ...logservice.KeyedEntry) error {
+	err := l.fakeLog.AppendAt(ctx, stream, at, entries...)
+	if l.during != nil {
+		l.during()
+	}
+	return err
+}
+
+// TestAppendThatMatchesInANewEraGrantsNothing guards against a conditional append whose
+// offset is given out again after the log was restored.
+func TestAppendThatMatchesInANewEraGrantsNothing(t *testing.T) {
+	ctx := t.Context()
+	log := &fakeLog{era: 1}
+	a, b := newTestLedger(log, "a/1"), newTestLedger(log, "b/1")
+	settleLedger(t, a)
+	require.NoError(t, b.Update(ctx))
+	before := log.copyStreams()
+	draw := []Change{{Account: "maps", Paid: 100, SettingsVersion: 1, Draw: 60}}
+	_, err := a.Apply(ctx, draw)
+	require.NoError(t, err)
+	log.restore(before)
+	_, err = b.Apply(ctx, draw) // at the offset that the draw of a had
+	require.ErrorIs(t, err, logservice.ErrRestored)
+	settleLedger(t, a)
+	results, err := a.Apply(ctx, []Change{{Account: "maps", Paid: 100, SettingsVersion: 1, Draw: 60}})
+	require.NoError(t, err)
+	require.LessOrEqual(t, results[0].Granted, int64(40))
+	require.NoError(t, b.Update(ctx))
+	_, err = b.Apply(ctx, nil)
+	require.NoError(t, err, "b states that it was granted nothing")
+	require.NoError(t, a.Update(ctx))
+	drawn, _ := a.Drawn("maps")
+	require.EqualValues(t, 60+results[0].Granted, drawn)
+}
+
+// TestMergeHoldsTheNewestPartOfEachWriter also checks that the order does not matter, and
+// that a folded part is not added again.
+func TestMergeHoldsTheNewestPartOfEachWriter(t *testing.T) {
+	of := func(folds uint64, base int64, parts map[writer]part) entry {
+		e := entry{Drawn: base, Parts: parts, Folds: folds}
+		for _, p := range parts {
+			e.Drawn += p.Net
+			e.Count = max(e.Count, p.Seq)
+		}
+		return e
+	}
+	cases := map[string]struct {
+		a, b  entry
+		drawn int64
+	}{
+		"nothing":                       {entry{}, entry{}, 0},
+		"one side":                      {of(0, 0, map[writer]part{1: {5, 1}}), entry{}, 5},
+		"both":                          {of(0, 0, map[writer]part{1: {5, 1}}), of(0, 0, map[writer]part{2: {7, 2}}), 12},
+		"later statement of one writer": {of(0, 0, map[writer]part{1: {5, 1}}), of(0, 0, map[writer]part{1: {2, 4}}), 2},
+		"each knows one later":          {of(0, 0, map[writer]part{1: {5, 3}, 2: {1, 1}}), of(0, 0, map[writer]part{1: {9, 2}, 2: {4, 4}}), 9},
+		"folded in one":                 {of(1, 5, map[writer]part{2: {7, 4}}), of(0, 0, map[writer]part{1: {5, 1}, 2: {1, 2}}), 12},
+		"new beside a fold":             {of(1, 5, map[writer]part{2: {7, 4}}), of(0, 0, map[writer]part{1: {5, 1}, 2: {1, 2}, 3: {8, 6}}), 20},
+		"base without parts":            {of(0, 30, nil), of(0, 30, map[writer]part{1: {5, 1}}), 35},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			merged := merge(c.a, c.b)
+			require.Equal(t, c.drawn, merged.Drawn)
+			require.Equal(t, c.drawn, merge(c.b, c.a).Drawn)
+			require.True(t, merged.covers(c.a) && merged.covers(c.b))
+		})
+	}
+}
+
+func TestFoldedPartOfLivingRouterIsNotCountedTwice(t *testing.T) {
+	ctx := t.Context()
+	log := &fakeLog{era: 1}
+	first := newTestLedger(log, "first/1")
+	settleLedger(t, first)
+	draw := []Change{{Account: "maps", Paid: 1000, SettingsVersion: 1, Draw: 10}}
+	_, err := first.Apply(ctx, draw)
+	require.NoError(t, err)
+	for i := range maxParts + 3 {
+		_, err := newTestLedger(log, fmt.Sprintf("%d/1", i)).Apply(ctx, draw)
+		require.NoError(t, err)
+	}
+	for range 3 {
+		require.NoError(t, first.Update(ctx))
+		_, err = first.Apply(ctx, draw)
+		require.NoError(t, err)
+	}
+	drawn, _ := first.Drawn("maps")
+	require.EqualValues(t, 10*(1+maxParts+3+3), drawn)
+	require.LessOrEqual(t, len(first.entries["maps"].Parts), maxParts)
+}
+
+// TestTokensOfRoutersThatNobodyRemembersAreHeldBack guards against the draws of routers
+// that were all killed around a restore.
+func TestTokensOfRoutersThatNobodyRemembersAreHeldBack(t *testing.T) {
+	ctx := t.Context()
+	log := &fakeLog{era: 1}
+	nobody := &unremembered{isRemembered: func(string) bool { return false }}
+	killed := newTestLedger(log, "a/1")
+	settleLedger(t, killed)
+	draw := func(l *Ledger, tokens int64) Result {
+		results, err := l.Apply(ctx, []Change{{Account: "maps", Paid: 100_000, SettingsVersion: 1, Draw: tokens, Owner: true, Rate: 1000}})
+		require.NoError(t, err)
+		return results[0]
+	}
+	draw(killed, 5000)
+	log.restore(log.copyStreams())
+	successor := newTestLedger(log, "a/2")
+	require.NoError(t, successor.Update(ctx))
+	require.NoError(t, successor.Settle(ctx, successor.Era(), nobody))
+	held := int64(1000 * maxCopyAge.Seconds())
+	require.EqualValues(t, 100_000-5000-held, draw(successor, 1).FreeBefore)
+	other := newTestLedger(log, "b/1")
+	require.NoError(t, other.Update(ctx))
+	require.NoError(t, other.Settle(ctx, other.Era(), nobody))
+	require.EqualValues(t, 100_000-5001-held, draw(other, 1).FreeBefore, "held back once")
+}
+
+func TestRateOfUnrememberedRouters(t *testing.T) {
+	published := map[string]rate{"a": {Tokens: 30}, "b": {Tokens: 0}, "c": {Tokens: 60}}
+	cases := map[string]struct {
+		remembered, owners []string
+		rate               float64
+	}{
+		"all remembered":               {[]string{"a", "b", "c"}, nil, 0},
+		"none":                         {nil, nil, 30 + 30 + 60},
+		"one":                          {[]string{"b", "c"}, nil, 30},
+		"an owner without a rate":      {[]string{"a", "b", "c"}, []string{"a", "d"}, 30},
+		"a remembered one without one": {[]string{"a", "b", "c", "d"}, []string{"a", "d"}, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			lost := &unremembered{isRemembered: func(node string) bool { return slices.Contains(c.remembered, node) }, owners: c.owners}
+			require.EqualValues(t, c.rate, lost.rate(published))
+		})
+	}
+}
+
+func TestOwnerThatWasCutOffBeforeTheOutageIsNotComplete(t *testing.T) {
+	owner := func(gap time.Duration) CopyReply { return CopyReply{Remembers: true, Owner: true, Gap: gap} }
+	fresh := CopyReply{}
+	bystander := func(gap time.Duration) CopyReply { return CopyReply{Gap: gap} }
+	cases := map[string]struct {
+		replies  []CopyReply
+		complete bool
+	}{
+		"none":                                {nil, false},
+		"only routers that have just started": {[]CopyReply{fresh, fresh}, false},
+		"one owner alone":                     {[]CopyReply{owner(2 * time.Second)}, false},
+		"one owner and a bystander":           {[]CopyReply{owner(2 * time.Second), bystander(3 * time.Second)}, true},
+		"an owner that was cut off":           {[]CopyReply{owner(6 * time.Second), bystander(2 * time.Second)}, false},
+		"two owners, one cut off":             {[]CopyReply{owner(6 * time.Second), owner(2 * time.Second)}, true},
+		"no owner":                            {[]CopyReply{{Remembers: true, Gap: time.Second}, bystander(time.Second)}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			state := collection{answered: map[string]bool{}, remember: map[string]bool{}}
+			for i, reply := range c.replies {
+				state.add(fmt.Sprint(i), reply)
+			}
+			require.Equal(t, c.complete, state.isComplete())
+		})
+	}
+}
+
+func TestPauseOfTheProcessIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var d pauseDetector
+		start := time.Now()
+		for i := range 100 {
+			d.check(start.Add(time.Duration(i) * pauseCheckPeriod))
+		}
+		require.True(t, d.pausedAt.IsZero())
+		d.check(start.Add(100*pauseCheckPeriod + 2*minPause))
+		require.False(t, d.pausedAt.IsZero())
+	})
+}
+
+// TestClusterKeepsBudgetThroughRestores plays whole routers: the log is restored twice, one
+// router crashes between its draws and the first restore, and requests go on throughout.
+func TestClusterKeepsBudgetThroughRestores(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playClusterRestores(t, seed) })
+		})
+	}
+}
+
+func playClusterRestores(t *testing.T, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 5))
+	f := newCluster(3_000_000)
+	f.log.era, f.shards = 1, 1+int(seed%2)
+	f.start(t, 5)
+	defer f.stopAll()
+	for _, router := range f.routers {
+		router.ObserveLogGap(func(logservice.Era) time.Duration { return time.Second })
+	}
+	time.Sleep(5 * time.Second)
+	total := f.sendLoad(t, r, 4*time.Second, 40, 200)
+	for range 2 {
+		older := f.log.copyStreams()
+		total = total.plus(f.sendLoad(t, r, time.Duration(1+r.IntN(7))*time.Second, 40, 200))
+		crashed := r.IntN(len(f.routers))
+		f.stops[crashed]()
+		f.setDown(crashed)
+		f.log.setDown(true)
+		total = total.plus(f.sendLoad(t, r, time.Second, 10, 200))
+		f.log.restore(older)
+		f.log.setDown(false)
+		total = total.plus(f.sendLoad(t, r, 5*time.Second, 40, 200))
+	}
+	require.Greater(t, float64(total.served), 0.8*float64(total.asked))
+	total = total.plus(f.sendLoad(t, r, 60*time.Second, 40, 1500))
+	require.LessOrEqual(t, total.used, f.prepaid)
+}
+
+// TestCopiesOfAnotherEraDoNotSettle guards against a second restore during the repair of
+// the first.
+func TestCopiesOfAnotherEraDoNotSettle(t *testing.T) {
+	ctx := t.Context()
+	log := &fakeLog{era: 1}
+	l := newTestLedger(log, "a/1")
+	settleLedger(t, l)
+	before := log.copyStreams()
+	log.restore(before)
+	require.NoError(t, l.Update(ctx))
+	log.restore(before)
+	var unsent *NotWrittenError
+	require.ErrorAs(t, l.Settle(ctx, 2, nil), &unsent)
+	require.True(t, l.Unsettled())
+	require.NoError(t, l.Settle(ctx, 3, nil))
+	require.False(t, l.Unsettled())
+}
+
+// sendTo sends requests to one router for a while.
+func (f *cluster) sendTo(t *testing.T, router int, span time.Duration) {
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if reservation, outcome := f.routers[router].Reserve(t.Context(), "maps", 300); outcome == Granted {
+			reservation.Settle(300)
+		}
+	}
+}
+
+func TestOtherOwnersKnowEachDrawAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCluster(3_000_000)
+		f.log.era = 1
+		f.start(t, 2)
+		defer f.stopAll()
+		time.Sleep(5 * time.Second)
+		for range 20 {
+			f.sendTo(t, 0, 330*time.Millisecond)
+			synctest.Wait()
+			drawer, other := f.routers[0].shardAt(0).ledger, f.routers[1].shardAt(0).ledger
+			own := drawer.own["maps"]
+			require.GreaterOrEqual(t, other.entries["maps"].Parts[own.writer].Net, own.Net)
+		}
+	})
+}
+
+// TestDrawsOfRouterThatReadsNoLogAreWrittenAgain: only another router can read the copy of
+// the one that has drawn.
+func TestDrawsOfRouterThatReadsNoLogAreWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCluster(3_000_000)
+		f.log.era = 1
+		f.start(t, 2)
+		defer f.stopAll()
+		time.Sleep(5 * time.Second)
+		older := f.log.copyStreams()
+		f.stops[1]() // reads nothing, and is told nothing
+		f.setPartitioned(true)
+		f.sendTo(t, 0, 3*time.Second)
+		f.stops[0]()
+		synctest.Wait()
+		f.setPartitioned(false)
+		own := f.routers[0].shardAt(0).ledger.own["maps"]
+		f.log.restore(older)
+		successor := NewLocalBalances(f.log, Streams{Budgets: stream, Layout: "layout", Shards: 1}, "1/successor", f.settings, clusterPeers{f, 1}, zerolog.Nop())
+		go successor.Run(t.Context())
+		time.Sleep(4 * time.Second)
+		require.Equal(t, own.Net, successor.shardAt(0).ledger.entries["maps"].Parts[own.writer].Net)
+	})
+}
--- a/internal/prepaid/shard.go
+++ b/internal/prepaid/shard.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 
 	"github.com/camphorlever/camphorlever/internal/catalog"
 )
@@ -22,6 +23,7 @@
 	ledger       *Ledger
 	wakeup       chan struct{} // starts a rebalancing round
 	needsRefresh atomic.Bool   // a request needs a fresh read of the ledger
+	collection   collection    // only used by the shard's loop
 
 	mu            sync.Mutex // guards all below
 	owners        []string   // owner routers, which draw for the accounts, in the order in which this router asks them
@@ -133,7 +135,7 @@
 }
 
 // loadShards loads the layout, and the entries of the shards that this router
-// owns, until ctx ends.
+// owns, and collects draws that the log has lost, until ctx ends.
 func (bs *LocalBalances) loadShards(ctx context.Context) []*shard {
 	count := 0
 	bs.retryLoad(ctx, func() (err error) {
@@ -148,11 +150,17 @@
 	shards := newShards(bs.ledgerLog, bs.streams, count, bs.incarnation, bs.log)
 	bs.shards.Store(&shards)
 	bs.awaitFleet(ctx)
-	for _, s := range shards {
+	var loads conc.WaitGroup
+	for i, s := range shards {
 		if _, isOwner := s.ownersIn(bs.fleet()); isOwner {
-			bs.retryLoad(ctx, func() error { return s.ledger.Load(ctx) })
+			loads.Go(func() {
+				bs.retryLoad(ctx, func() error { return s.ledger.Load(ctx) })
+				for !bs.settle(ctx, s, i) && sleepOrWake(ctx, collectInterval, nil) {
+				}
+			})
 		}
 	}
+	loads.Wait()
 	return shards
 }
 
--- a/internal/watch/snapshot.go
+++ b/internal/watch/snapshot.go
@@ -174,6 +174,9 @@
 		w.newest.reset(entries, next)
 	}
 	if restored {
+		w.mu.Lock()
+		w.restoredTo, w.gap = next.Era, time.Since(w.syncedAt)
+		w.mu.Unlock()
 		w.sink.Restore(entries)
 		return
 	}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -79,6 +79,9 @@
 	syncedAt      time.Time          // when the last successful call began, or its long poll ended
 	unavailable   bool               // the last call failed
 	failingSince  time.Time          // when the first of the last calls that all failed ended
+	era           logservice.Era     // of the last successful call
+	restoredTo    logservice.Era     // era in which the log last came back from an older copy
+	gap           time.Duration      // between the last read before that and the first one afterwards
 	syncRequested bool               // a caller of Sync waits for a read
 	changed       chan struct{}      // closed when syncedAt or unavailable is set
 	abortPoll     context.CancelFunc // ends the long poll in progress
@@ -116,6 +119,21 @@
 	return time.Since(w.failingSince)
 }
 
+// GapBefore returns for how long the log could not be read until an era was first seen, or
+// so far. It is zero if nothing was read before that era.
+func (w *Watcher) GapBefore(era logservice.Era) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.restoredTo >= era:
+		return w.gap
+	case w.syncedAt.IsZero() || w.era >= era:
+		return 0
+	default:
+		return time.Since(w.syncedAt)
+	}
+}
+
 // ErrUnavailable means that the last call to the log failed.
 var ErrUnavailable = errors.New("log is unavailable")
 
@@ -285,7 +303,7 @@
 	w.sink.SetReachable(true)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.syncedAt, w.unavailable = syncedAt, false
+	w.syncedAt, w.unavailable, w.era = syncedAt, false, w.next.Era
 	w.notifyWaiters()
 }
 
