entry: a router that starts on an older log gets the newest settings from others

Cause: the router took the newest version in the log for the newest one. A router now asks some others for newer settings before it is ready, and again after the log was restored: those that had not read the last version before the outage get it, too. Versions still never go back.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -137,6 +137,8 @@
 	codec             Codec
 	log               zerolog.Logger
 	settings          *settingsSink
+	refreshSettings   chan struct{} // has the other routers asked for newer settings
+	settingsCompared  atomic.Bool   // other routers were asked for newer settings since the start
 	servers           *membership.Table
 	serverWatcher     *watch.Watcher
 	peerWatcher       *watch.Watcher
@@ -188,6 +190,7 @@
 		intake:          intake.NewBudget(o.Limits),
 		listenAddresses: map[*http.Server]net.Addr{},
 		serveErrors:     make(chan error, 3),
+		refreshSettings: make(chan struct{}, 1),
 	}
 	r.stopFilter = newStopFilter(r.log)
 	if o.ColdOverage > 0 {
@@ -246,7 +249,13 @@
 }
 
 // logRestored is called after the log came back from an older copy of itself.
-func (r *Router) logRestored() { r.balances.LogRestored() }
+func (r *Router) logRestored() {
+	r.balances.LogRestored()
+	select {
+	case r.refreshSettings <- struct{}{}:
+	default:
+	}
+}
 
 // settingsChanged is called with new settings.
 func (r *Router) settingsChanged(s *catalog.Settings) {
@@ -302,6 +311,7 @@
 	rpcServer := rpc.NewServer(r.options.FleetKey)
 	methods := peers.NewMethods(r.balances, r.snapshot, r.quarantine)
 	methods.ServeLedger(r.balances)
+	methods.ServeSettings(r.settings.valueNewerThan)
 	if r.loads != nil {
 		methods.ServeLoads(r.loads)
 	}
@@ -330,6 +340,7 @@
 		"report intake":     r.reportIntake,
 		"close unread":      r.intake.Run,
 		"announce":          r.announce,
+		"refresh settings":  r.fetchNewerSettings,
 		"follow quarantine": r.quarantineWatcher.Run,
 		"share quarantine":  func(ctx context.Context) { r.quarantine.RunGossip(ctx, r.peerClient) },
 		"write quarantine":  func(ctx context.Context) { r.quarantine.RunWriter(ctx, r.platform, r.options.StreamQuarantine) },
@@ -411,7 +422,7 @@
 
 // loaded reports whether all state that requests need has been read.
 func (r *Router) loaded() bool {
-	if r.settings.Current() == nil || r.serverWatcher.SyncedAt().IsZero() || r.quarantineWatcher.SyncedAt().IsZero() {
+	if r.settings.Current() == nil || !r.settingsCompared.Load() || r.serverWatcher.SyncedAt().IsZero() || r.quarantineWatcher.SyncedAt().IsZero() {
 		return false
 	}
 	select {
--- a/internal/entry/sinks.go
+++ b/internal/entry/sinks.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,7 @@
 type settingsSink struct {
 	decoder  Decoder
 	log      zerolog.Logger
+	mu       sync.Mutex // serializes changes of current
 	current  atomic.Pointer[catalog.Settings]
 	watcher  *watch.Watcher
 	onChange func(*catalog.Settings)
@@ -39,6 +41,13 @@
 	// onRestore is called after the log came back from an older copy; nil if nothing
 	// depends on it.
 	onRestore func()
+	raw       atomic.Pointer[settingsValue] // of current
+}
+
+// settingsValue is the value of the settings in the log.
+type settingsValue struct {
+	version int64
+	value   []byte
 }
 
 // Current implements route.Settings.
@@ -85,21 +94,41 @@
 		if e.Key != p.decoder.KeySettings || e.Value == nil {
 			continue
 		}
-		s, err := p.decoder.Settings(e.Value)
-		if err != nil {
+		switch adopted, err := p.adopt(e.Value); {
+		case err != nil:
 			p.log.Warn().Err(err).Int64("offset", int64(e.Offset)).Msg("settings cannot be decoded")
-			continue
+		case adopted:
+			p.log.Info().Int64("settings", p.current.Load().Version).Int64("offset", int64(e.Offset)).Msg("settings in force")
 		}
-		previous := p.current.Load()
-		if previous != nil && s.Version <= previous.Version {
-			continue
-		}
-		p.current.Store(s)
-		p.log.Info().Int64("settings", s.Version).Int64("offset", int64(e.Offset)).Msg("settings in force")
-		p.onChange(s)
 	}
 }
 
+// adopt puts settings in force, and reports whether it did: not if newer ones are.
+func (p *settingsSink) adopt(value []byte) (bool, error) {
+	s, err := p.decoder.Settings(value)
+	if err != nil {
+		return false, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if previous := p.current.Load(); previous != nil && s.Version <= previous.Version {
+		return false, nil
+	}
+	p.current.Store(s)
+	p.raw.Store(&settingsValue{version: s.Version, value: value})
+	p.onChange(s)
+	return true, nil
+}
+
+// valueNewerThan returns the value of the settings in force if their version is newer
+// than the given one, nil otherwise.
+func (p *settingsSink) valueNewerThan(version int64) []byte {
+	if raw := p.raw.Load(); raw != nil && raw.version > version {
+		return raw.value
+	}
+	return nil
+}
+
 // evacuationSink applies the operators' evacuation orders.
 type evacuationSink struct {
 	decoder Decoder
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -247,3 +248,58 @@
 	r.Apply([]logservice.KeyedEntry{entry(Member{Node: "c", Incarnation: "c/2"})})
 	require.Contains(t, r.Fleet().Routers, "c", "it has started again")
 }
+
+func TestNewerSettingsComeFromOtherRouters(t *testing.T) {
+	serve := func(version int64, value string) string {
+		methods := NewMethods(&fakeLender{}, nil, nil)
+		methods.ServeSettings(func(known int64) []byte {
+			if version > known {
+				return []byte(value)
+			}
+			return nil
+		})
+		return serveMethods(t, methods)
+	}
+	c := NewClient(peerSetOf(t,
+		Member{Node: "older", Address: serve(3, "three")},
+		Member{Node: "newer", Address: serve(5, "five")},
+		Member{Node: "without", Address: serveLender(t, &fakeLender{})},
+		Member{Node: "gone", Address: "127.0.0.1:1"}), "key")
+	for version, want := range map[int64][]string{0: {"five", "three"}, 3: {"five"}, 5: nil} {
+		var got []string
+		c.NewerSettings(context.Background(), version, 8, func(value []byte) { got = append(got, string(value)) })
+		slices.Sort(got)
+		require.Equal(t, want, got)
+	}
+}
+
+func TestCopiesOfTheLedgerComeFromOtherRouters(t *testing.T) {
+	keeper := &fakeKeeper{}
+	methods := NewMethods(&fakeLender{}, nil, nil)
+	methods.ServeLedger(keeper)
+	c := NewClient(peerSetOf(t,
+		Member{Node: "a", Address: serveMethods(t, methods)},
+		Member{Node: "without", Address: serveLender(t, &fakeLender{})},
+		Member{Node: "gone", Address: "127.0.0.1:1"}), "key")
+	names := []string{"a", "without", "gone", "unknown"}
+	got := map[string]prepaid.CopyReply{}
+	c.Copies(context.Background(), names, prepaid.CopyArgs{Shard: 3, Era: 2}, func(name string, reply prepaid.CopyReply) { got[name] = reply })
+	require.Equal(t, map[string]prepaid.CopyReply{"a": {Entries: prepaid.Copy{"of": {3, 2}}, Remembers: true}}, got)
+	require.True(t, c.Witness(context.Background(), names, prepaid.WitnessArgs{Shard: 1, Entries: prepaid.Copy{"of": {9}}}))
+	require.Equal(t, prepaid.Copy{"of": {9}}, keeper.witnessed.Load().Entries)
+	require.False(t, c.Witness(context.Background(), []string{"gone"}, prepaid.WitnessArgs{}))
+}
+
+// fakeKeeper has a copy that names what was asked for.
+type fakeKeeper struct {
+	witnessed atomic.Pointer[prepaid.WitnessArgs]
+}
+
+func (k *fakeKeeper) LedgerCopy(args prepaid.CopyArgs) (prepaid.CopyReply, error) {
+	return prepaid.CopyReply{Entries: prepaid.Copy{"of": {byte(args.Shard), byte(args.Era)}}, Remembers: true}, nil
+}
+
+func (k *fakeKeeper) Witness(args prepaid.WitnessArgs) error {
+	k.witnessed.Store(&args)
+	return nil
+}
--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -25,8 +25,9 @@
 	lender    Lender
 	snapshots Snapshots
 	evidence  EvidenceSink
-	ledger    LedgerKeeper // nil if copies of the ledger are not shared
-	loads     LoadSink     // nil if no loads are exchanged
+	ledger    LedgerKeeper   // nil if copies of the ledger are not shared
+	settings  SettingsSource // nil if settings are not shared
+	loads     LoadSink       // nil if no loads are exchanged
 }
 
 // NewMethods returns the methods for the balances of lender, for snapshots and for
