--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -138,6 +138,8 @@
 	codec             Codec
 	log               zerolog.Logger
 	settings          *settingsSink
+	refreshSettings   chan struct{} // has the other routers asked for newer settings
+	settingsCompared  atomic.Bool   // other routers were asked for newer settings since the start
 	servers           *membership.Table
 	serverWatcher     *watch.Watcher
 	peerWatcher       *watch.Watcher
@@ -189,6 +191,7 @@
 		intake:          intake.NewBudget(o.Limits),
 		listenAddresses: map[*http.Server]net.Addr{},
 		serveErrors:     make(chan error, 3),
+		refreshSettings: make(chan struct{}, 1),
 	}
 	r.stopFilter = newStopFilter(r.log)
 	if o.ColdOverage > 0 {
@@ -200,7 +203,7 @@
 	r.orders = evacuation.New(logger, time.Now)
 	r.metrics.registry.MustRegister(ordersCollector{r.orders})
 	r.servers.WithholdDataCentres(r.orders.InForce)
-	r.settings = &settingsSink{decoder: o.Decoder, log: r.log, onChange: r.settingsChanged}
+	r.settings = &settingsSink{decoder: o.Decoder, log: r.log, onChange: r.settingsChanged, onRestore: r.logRestored}
 	r.settings.orders = &evacuationSink{decoder: o.Decoder, orders: r.orders, servers: r.servers, placer: r.placer, log: r.log}
 	r.settings.watcher = watch.New(log, o.StreamSettings, r.settings, settingsTiming, logger)
 	r.sendGate = newSendGate(r.orders, r.settings.watcher, o.EvacuationTimeout)
@@ -221,6 +224,7 @@
 		r.placer.ShareLoads(r.loads)
 	}
 	r.balances = prepaid.NewLocalBalances(log, streams, incarnation, r.settings.Current, r.peerClient, logger)
+	r.balances.ObserveLogGap(r.settings.watcher.GapBefore)
 	r.quarantine = quarantine.New(logger)
 	r.quarantineWatcher = watch.New(log, o.StreamQuarantine, r.quarantine, quarantineTiming, logger)
 	r.chain = filter.Chain(
@@ -245,6 +249,15 @@
 	return r
 }
 
+// logRestored is called after the log came back from an older copy of itself.
+func (r *Router) logRestored() {
+	r.balances.LogRestored()
+	select {
+	case r.refreshSettings <- struct{}{}:
+	default:
+	}
+}
+
 // settingsChanged is called with new settings.
 func (r *Router) settingsChanged(s *catalog.Settings) {
 	if r.cold != nil {
@@ -298,6 +311,8 @@
 	}
 	rpcServer := rpc.NewServer(r.options.FleetKey)
 	methods := peers.NewMethods(r.balances, r.snapshot, r.quarantine)
+	methods.ServeLedger(r.balances)
+	methods.ServeSettings(r.settings.valueNewerThan)
 	if r.loads != nil {
 		methods.ServeLoads(r.loads)
 	}
@@ -326,6 +341,7 @@
 		"report intake":     r.reportIntake,
 		"close unread":      r.intake.Run,
 		"announce":          r.announce,
+		"refresh settings":  r.fetchNewerSettings,
 		"follow quarantine": r.quarantineWatcher.Run,
 		"share quarantine":  func(ctx context.Context) { r.quarantine.RunGossip(ctx, r.peerClient) },
 		"write quarantine":  func(ctx context.Context) { r.quarantine.RunWriter(ctx, r.platform, r.options.StreamQuarantine) },
@@ -388,8 +404,15 @@
 // wait for their appends.
 func (r *Router) announce(ctx context.Context) {
 	r.peerSet.AwaitLoaded(ctx, announceDelay)
-	if err := r.peerSet.Announce(ctx, r.platform); err != nil {
-		r.log.Warn().Err(err).Msg("router could not announce itself")
+	for {
+		if err := r.peerSet.Announce(ctx, r.platform); err != nil {
+			r.log.Warn().Err(err).Msg("router could not announce itself")
+		}
+		select {
+		case <-r.peerSet.Restored():
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
@@ -404,7 +427,7 @@
 
 // loaded reports whether all state that requests need has been read.
 func (r *Router) loaded() bool {
-	if r.settings.Current() == nil || r.serverWatcher.SyncedAt().IsZero() || r.quarantineWatcher.SyncedAt().IsZero() {
+	if r.settings.Current() == nil || !r.settingsCompared.Load() || r.serverWatcher.SyncedAt().IsZero() || r.quarantineWatcher.SyncedAt().IsZero() {
 		return false
 	}
 	select {
