standin: the log can come back from an older copy

A test copies the log in memory at one moment and restores it later. Entries written since are gone, their offsets are given out again, and a read beyond the end gets 410 instead of an empty page. Each restore raises the era, which the stand-in sends in the header Log-Era of every answer; pages carry it. The client counts a missing or malformed era and takes it for no information.

RetainedRange used to read from the largest offset, which would now be beyond the end; logservice.End names that read and is never refused. TestEndsOfAStream compares whole pages, which now have an era.

--- a/internal/logservice/http.go
+++ b/internal/logservice/http.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/camphorlever/camphorlever/internal/counter"
 	"github.com/camphorlever/camphorlever/internal/httpclient"
 	"github.com/camphorlever/camphorlever/internal/ident"
 )
@@ -27,6 +28,9 @@
 	maxReplyBytes = 16 << 20
 )
 
+// eraEvents counts pages without a valid era by reason.
+var eraEvents = counter.NewSet("log_eras")
+
 // HTTPClient implements Log over the HTTP API of the log service.
 type HTTPClient struct {
 	base   string
@@ -60,7 +64,7 @@
 	}
 	httpRequest.Header.Set("Content-Type", "application/octet-stream")
 	var reply appendReply
-	if err := h.do(httpRequest, &reply); err != nil {
+	if _, err := h.do(httpRequest, &reply); err != nil {
 		return ident.NoOffset, err
 	}
 	if reply.Offset == nil {
@@ -84,9 +88,11 @@
 		return Page{}, errors.Wrap(err, "log read")
 	}
 	var page Page
-	if err := h.do(httpRequest, &page); err != nil {
+	header, err := h.do(httpRequest, &page)
+	if err != nil {
 		return Page{}, err
 	}
+	page.Era = parseEra(header)
 	if err := checkPage(page, request.From); err != nil {
 		return Page{}, Unavailable(err)
 	}
@@ -107,24 +113,40 @@
 	return nil
 }
 
-// do sends one request and decodes its JSON reply.
-func (h *HTTPClient) do(request *http.Request, reply any) error {
+// parseEra returns the era of an answer. A missing or malformed era is counted and
+// is NoEra.
+func parseEra(header http.Header) Era {
+	text := header.Get(EraHeader)
+	if text == "" {
+		eraEvents.Inc("missing")
+		return NoEra
+	}
+	era, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || era == 0 {
+		eraEvents.Inc("invalid")
+		return NoEra
+	}
+	return Era(era)
+}
+
+// do sends one request, decodes its JSON reply and returns the reply's header.
+func (h *HTTPClient) do(request *http.Request, reply any) (http.Header, error) {
 	response, err := h.client.Do(request)
 	if err != nil {
-		return Unavailable(err)
+		return nil, Unavailable(err)
 	}
 	defer response.Body.Close()
 	if err := statusError(response); err != nil {
-		return err
+		return nil, err
 	}
 	raw, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
 	if err != nil {
-		return Unavailable(err)
+		return nil, Unavailable(err)
 	}
 	if err := json.Unmarshal(raw, reply); err != nil {
-		return Unavailable(errors.Wrap(err, "reply is not whole"))
+		return nil, Unavailable(errors.Wrap(err, "reply is not whole"))
 	}
-	return nil
+	return response.Header, nil
 }
 
 // statusError maps the HTTP status of a reply to an error of this package.
--- a/internal/logservice/logservice.go
+++ b/internal/logservice/logservice.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +22,21 @@
 	Data   []byte       `json:"data"`
 }
 
+// Era numbers the restores of the log service from an older copy. A restore loses
+// the entries after the copy and gives their offsets out again, so an offset names
+// an entry only together with its era. Each restore raises the era by one.
+type Era uint64
+
+// NoEra means that an answer had no valid era. It says nothing about restores.
+const NoEra Era = 0
+
+// EraHeader is the HTTP header that has the era, a decimal number from 1, in every
+// answer of the log service.
+const EraHeader = "Log-Era"
+
+// End as ReadRequest.From asks for the range of a stream without entries.
+const End ident.Offset = math.MaxInt64
+
 // ReadRequest asks for the entries at and after an offset.
 type ReadRequest struct {
 	Stream Stream
@@ -39,6 +55,7 @@
 	Entries []Entry      `json:"entries"`
 	First   ident.Offset `json:"first"` // oldest retained offset
 	Next    ident.Offset `json:"next"`  // offset of the next append
+	Era     Era          `json:"-"`     // era of the offsets, NoEra if the answer had none
 }
 
 // Log is the log service. Implementations are safe for concurrent use.
@@ -47,7 +64,8 @@
 	// entry was written: callers have to read the stream to find out.
 	Append(ctx context.Context, stream Stream, data []byte) (ident.Offset, error)
 	// Read returns a page. It fails with ErrTrimmed when From is before the
-	// oldest retained offset, and never returns a page with a gap.
+	// oldest retained offset or, after a restore, beyond the next offset. It
+	// never returns a page with a gap.
 	Read(ctx context.Context, request ReadRequest) (Page, error)
 }
 
@@ -56,8 +74,9 @@
 	// ErrUnavailable means that the service did not reply or that its reply
 	// was lost. A write may or may not have taken effect.
 	ErrUnavailable = errors.New("log service unavailable")
-	// ErrTrimmed means that the requested offset is no longer retained.
-	ErrTrimmed = errors.New("log offset is no longer retained")
+	// ErrTrimmed means that the log does not have the requested offset: it is
+	// no longer retained, or a restore has moved the end of the stream before it.
+	ErrTrimmed = errors.New("log offset is not retained")
 	// ErrTooLarge means that the entry exceeds the service's limit; nothing
 	// was written.
 	ErrTooLarge = errors.New("log entry is too large")
--- a/internal/memlog/memlog.go
+++ b/internal/memlog/memlog.go
@@ -26,7 +26,8 @@
 
 // Log implements logservice.Log. Create it with New.
 type Log struct {
-	mu        sync.Mutex // guards streams and retention; taken before a stream's lock
+	mu        sync.Mutex // guards all but faults; taken before a stream's lock
+	era       logservice.Era
 	streams   map[logservice.Stream]*stream
 	retention int // entries kept per stream; 0 keeps all
 	faults    faults
@@ -46,6 +47,7 @@
 // New returns an empty log that keeps every entry.
 func New() *Log {
 	return &Log{
+		era:     1,
 		streams: map[logservice.Stream]*stream{},
 		faults:  faults{downChanged: make(chan struct{})},
 	}
@@ -53,28 +55,34 @@
 
 // Append adds one entry and returns its offset.
 func (l *Log) Append(ctx context.Context, name logservice.Stream, data []byte) (ident.Offset, error) {
+	offset, _, err := l.AppendInEra(ctx, name, data)
+	return offset, err
+}
+
+// AppendInEra is Append that also returns the era of the offset.
+func (l *Log) AppendInEra(ctx context.Context, name logservice.Stream, data []byte) (ident.Offset, logservice.Era, error) {
 	if len(data) > MaxEntryBytes {
-		return ident.NoOffset, logservice.ErrTooLarge
+		return ident.NoOffset, logservice.NoEra, logservice.ErrTooLarge
 	}
 	if err := ctx.Err(); err != nil {
-		return ident.NoOffset, logservice.Unavailable(err)
+		return ident.NoOffset, logservice.NoEra, logservice.Unavailable(err)
 	}
 	downChanged, delay, err := l.faults.startCall()
 	if err != nil {
-		return ident.NoOffset, err
+		return ident.NoOffset, logservice.NoEra, err
 	}
 	if err := sleep(ctx, downChanged, delay/2); err != nil {
-		return ident.NoOffset, err
+		return ident.NoOffset, logservice.NoEra, err
 	}
 	s, retention := l.getOrCreateStream(name)
-	offset := s.append(data, l.faults.nextCopyCount(), retention)
+	offset, era := s.append(data, l.faults.nextCopyCount(), retention)
 	if err := sleep(ctx, downChanged, delay-delay/2); err != nil {
-		return ident.NoOffset, err
+		return ident.NoOffset, logservice.NoEra, err
 	}
 	if l.faults.shouldLoseReply() {
-		return ident.NoOffset, logservice.Unavailable(ErrReplyLost)
+		return ident.NoOffset, logservice.NoEra, logservice.Unavailable(ErrReplyLost)
 	}
-	return offset, nil
+	return offset, era, nil
 }
 
 // Read returns the entries at and after an offset. If there are none, it waits up to
@@ -148,7 +156,7 @@
 	defer l.mu.Unlock()
 	s, ok := l.streams[name]
 	if !ok {
-		s = newStream()
+		s = newStream(l.era)
 		l.streams[name] = s
 	}
 	return s, l.retention
--- a/internal/memlog/stream.go
+++ b/internal/memlog/stream.go
@@ -11,20 +11,21 @@
 // stream holds the retained entries of one stream.
 type stream struct {
 	mu      sync.Mutex // guards all fields; first+len(entries) is the next offset
+	era     logservice.Era
 	first   ident.Offset
 	entries []logservice.Entry
 	appends int64
 	bytes   int64
-	changed chan struct{} // closed and replaced by every append and trim
+	changed chan struct{} // closed and replaced by every append, trim and restore
 }
 
-func newStream() *stream {
-	return &stream{changed: make(chan struct{})}
+func newStream(era logservice.Era) *stream {
+	return &stream{era: era, changed: make(chan struct{})}
 }
 
 // append adds the given number of copies of one entry, drops entries beyond the
-// retention and returns the offset of the last copy.
-func (s *stream) append(data []byte, copies, retention int) ident.Offset {
+// retention and returns the offset of the last copy and its era.
+func (s *stream) append(data []byte, copies, retention int) (ident.Offset, logservice.Era) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	data = bytes.Clone(data)
@@ -35,7 +36,7 @@
 	}
 	s.retainLocked(retention)
 	s.notifyReaders()
-	return s.nextOffset() - 1
+	return s.nextOffset() - 1, s.era
 }
 
 // page returns the entries at and after an offset, and a channel that is closed at the
@@ -43,10 +44,10 @@
 func (s *stream) page(from ident.Offset, limit int) (logservice.Page, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if from < s.first {
+	if from < s.first || from > s.nextOffset() && from != logservice.End {
 		return logservice.Page{}, nil, logservice.ErrTrimmed
 	}
-	page := logservice.Page{First: s.first, Next: s.nextOffset()}
+	page := logservice.Page{First: s.first, Next: s.nextOffset(), Era: s.era}
 	if from >= s.nextOffset() {
 		return page, s.changed, nil
 	}
--- a/internal/standin/platform/contract_test.go
+++ b/internal/standin/platform/contract_test.go
@@ -165,11 +165,11 @@
 	forms(t, func(t *testing.T, ctx context.Context, h harness) {
 		page, err := read(ctx, h, 0, 10)
 		require.NoError(t, err)
-		require.Equal(t, logservice.Page{}, page)
+		require.Equal(t, logservice.Page{Era: 1}, page)
 		fill(t, ctx, h, 2)
 		page, err = read(ctx, h, 2, 10)
 		require.NoError(t, err)
-		require.Equal(t, logservice.Page{Next: 2}, page)
+		require.Equal(t, logservice.Page{Next: 2, Era: 1}, page)
 		_, err = read(ctx, h, -1, 10)
 		require.ErrorContains(t, err, map[bool]string{false: "negative", true: "400"}[h.http])
 		other, err := h.log.Append(ctx, "fleet", nil)
--- a/internal/standin/platform/log.go
+++ b/internal/standin/platform/log.go
@@ -29,11 +29,12 @@
 		http.Error(w, "body is not whole", http.StatusBadRequest)
 		return
 	}
-	offset, err := p.Log.Append(r.Context(), streamOf(params), data)
+	offset, era, err := p.Log.AppendInEra(r.Context(), streamOf(params), data)
 	if err != nil {
 		fail(w, err)
 		return
 	}
+	setEra(w, era)
 	reply(w, appended{Offset: offset})
 }
 
@@ -49,9 +50,23 @@
 		fail(w, err)
 		return
 	}
+	setEra(w, page.Era)
 	reply(w, page)
 }
 
+// withEra sets the log's era in every answer of a handler. A handler that knows the
+// era of the offsets it returns sets that one.
+func (p *Platform) withEra(next httprouter.Handle) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+		setEra(w, p.Log.Era())
+		next(w, r, params)
+	}
+}
+
+func setEra(w http.ResponseWriter, era logservice.Era) {
+	w.Header().Set(logservice.EraHeader, strconv.FormatUint(uint64(era), 10))
+}
+
 // parseRead reads the query of a log read.
 func parseRead(r *http.Request) (logservice.ReadRequest, error) {
 	query := r.URL.Query()
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,9 @@
 	load    time.Duration // how long one weight load takes
 	silence *silence
 	vmReads atomic.Int64
+
+	copiesMu sync.Mutex // guards copies
+	copies   map[string]*memlog.Copy
 }
 
 // Options sizes the stand-in.
@@ -44,6 +48,7 @@
 		weights: rate.NewLimiter(perSecond, max(1, options.LoadsPerMinute)),
 		load:    options.LoadTime,
 		silence: newSilence(),
+		copies:  map[string]*memlog.Copy{},
 	}
 }
 
@@ -51,13 +56,15 @@
 // platform is silent.
 func (p *Platform) Handler() http.Handler {
 	router := httprouter.New()
-	router.POST("/log/*stream", p.silence.guard(p.append))
-	router.GET("/log/*stream", p.silence.guard(p.read))
+	router.POST("/log/*stream", p.silence.guard(p.withEra(p.append)))
+	router.GET("/log/*stream", p.silence.guard(p.withEra(p.read)))
 	router.GET("/vms", p.silence.guard(p.listVMs))
 	router.PUT("/vms/:id", p.putVM)
 	router.DELETE("/vms/:id", p.deleteVM)
 	router.POST("/weights/:model", p.silence.guard(p.loadWeights))
 	router.POST("/faults", p.setFaults)
+	router.PUT("/copies/:name", p.copyLog)
+	router.POST("/copies/:name/restore", p.restoreLog)
 	router.GET("/stats", p.stats)
 	router.GET("/stats/vms", p.vmStats)
 	return router
--- a/internal/stream/rebuild.go
+++ b/internal/stream/rebuild.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,7 +27,7 @@
 // RetainedRange returns the first retained offset of a stream and the offset of
 // the next append, as the log reports them.
 func RetainedRange(ctx context.Context, log logservice.Log, stream logservice.Stream) (first, next ident.Offset, err error) {
-	page, err := read(ctx, log, logservice.ReadRequest{Stream: stream, From: math.MaxInt64, Max: 1})
+	page, err := read(ctx, log, logservice.ReadRequest{Stream: stream, From: logservice.End, Max: 1})
 	return page.First, page.Next, err
 }
 
