logservice: appends under conditions on era and offset

An append may name the era that the log must have and the offset that the entry must get. Without that, an append that was in flight through a restore takes effect in the restored log, and two processes that write the same lost entry again shift all later offsets. The log refuses with 412 and 409; nothing is written then.

--- a/internal/logservice/http.go
+++ b/internal/logservice/http.go
@@ -56,13 +56,25 @@
 // Append adds one entry and returns its offset. It fails with ErrTooLarge or
 // ErrUnavailable, or with another error if the service rejects the request.
 func (h *HTTPClient) Append(ctx context.Context, stream Stream, data []byte) (ident.Offset, error) {
+	return h.AppendIf(ctx, AppendRequest{Stream: stream, Data: data, At: ident.NoOffset})
+}
+
+// AppendIf implements Log.
+func (h *HTTPClient) AppendIf(ctx context.Context, request AppendRequest) (ident.Offset, error) {
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
-	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodPost, h.url(stream, nil), bytes.NewReader(data))
+	query := url.Values{}
+	if request.At != ident.NoOffset {
+		query.Set("at", strconv.FormatInt(int64(request.At), 10))
+	}
+	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodPost, h.url(request.Stream, query), bytes.NewReader(request.Data))
 	if err != nil {
 		return ident.NoOffset, errors.Wrap(err, "log append")
 	}
 	httpRequest.Header.Set("Content-Type", "application/octet-stream")
+	if request.Era != NoEra {
+		httpRequest.Header.Set(EraHeader, strconv.FormatUint(uint64(request.Era), 10))
+	}
 	var reply appendReply
 	if _, err := h.do(httpRequest, &reply); err != nil {
 		return ident.NoOffset, err
@@ -156,6 +168,10 @@
 		return nil
 	case http.StatusGone:
 		return ErrTrimmed
+	case http.StatusConflict:
+		return ErrMoved
+	case http.StatusPreconditionFailed:
+		return ErrEraChanged
 	case http.StatusRequestEntityTooLarge:
 		return ErrTooLarge
 	case http.StatusBadRequest, http.StatusNotFound:
--- a/internal/logservice/logservice.go
+++ b/internal/logservice/logservice.go
@@ -31,12 +31,22 @@
 const NoEra Era = 0
 
 // EraHeader is the HTTP header that has the era, a decimal number from 1, in every
-// answer of the log service.
+// answer of the log service. In an append it is the condition on the era.
 const EraHeader = "Log-Era"
 
 // End as ReadRequest.From asks for the range of a stream without entries.
 const End ident.Offset = math.MaxInt64
 
+// AppendRequest asks for an append that takes effect only under conditions.
+type AppendRequest struct {
+	Stream Stream
+	Data   []byte
+	// Era is the era that the log must have. NoEra sets no condition.
+	Era Era
+	// At is the offset that the entry must get. NoOffset sets no condition.
+	At ident.Offset
+}
+
 // ReadRequest asks for the entries at and after an offset.
 type ReadRequest struct {
 	Stream Stream
@@ -63,6 +73,9 @@
 	// Append adds one entry. After ErrUnavailable it is unknown whether the
 	// entry was written: callers have to read the stream to find out.
 	Append(ctx context.Context, stream Stream, data []byte) (ident.Offset, error)
+	// AppendIf is Append under conditions. It fails with ErrEraChanged or ErrMoved,
+	// and then nothing was written, if one does not hold.
+	AppendIf(ctx context.Context, request AppendRequest) (ident.Offset, error)
 	// Read returns a page. It fails with ErrTrimmed when From is before the
 	// oldest retained offset or, after a restore, beyond the next offset. It
 	// never returns a page with a gap.
@@ -86,6 +99,10 @@
 // append expected; nothing was written.
 var ErrMoved = errors.New("log stream does not end at the expected offset")
 
+// ErrEraChanged means that the log has another era than a conditional append
+// expected; nothing was written.
+var ErrEraChanged = errors.New("log has another era")
+
 // KeyedEntry is the newest entry of one key of a keyed stream. A nil Value
 // means that the key was deleted.
 type KeyedEntry struct {
--- a/internal/memlog/memlog.go
+++ b/internal/memlog/memlog.go
@@ -55,13 +55,18 @@
 
 // Append adds one entry and returns its offset.
 func (l *Log) Append(ctx context.Context, name logservice.Stream, data []byte) (ident.Offset, error) {
-	offset, _, err := l.AppendInEra(ctx, name, data)
+	return l.AppendIf(ctx, logservice.AppendRequest{Stream: name, Data: data, At: ident.NoOffset})
+}
+
+// AppendIf implements logservice.Log.
+func (l *Log) AppendIf(ctx context.Context, request logservice.AppendRequest) (ident.Offset, error) {
+	offset, _, err := l.AppendInEra(ctx, request)
 	return offset, err
 }
 
-// AppendInEra is Append that also returns the era of the offset.
-func (l *Log) AppendInEra(ctx context.Context, name logservice.Stream, data []byte) (ident.Offset, logservice.Era, error) {
-	if len(data) > MaxEntryBytes {
+// AppendInEra is AppendIf that also returns the era of the offset.
+func (l *Log) AppendInEra(ctx context.Context, request logservice.AppendRequest) (ident.Offset, logservice.Era, error) {
+	if len(request.Data) > MaxEntryBytes {
 		return ident.NoOffset, logservice.NoEra, logservice.ErrTooLarge
 	}
 	if err := ctx.Err(); err != nil {
@@ -74,8 +79,11 @@
 	if err := sleep(ctx, downChanged, delay/2); err != nil {
 		return ident.NoOffset, logservice.NoEra, err
 	}
-	s, retention := l.getOrCreateStream(name)
-	offset, era := s.append(data, l.faults.nextCopyCount(), retention)
+	s, retention := l.getOrCreateStream(request.Stream)
+	offset, era, err := s.append(request, l.faults.nextCopyCount(), retention)
+	if err != nil {
+		return ident.NoOffset, logservice.NoEra, err
+	}
 	if err := sleep(ctx, downChanged, delay-delay/2); err != nil {
 		return ident.NoOffset, logservice.NoEra, err
 	}
--- a/internal/memlog/stream.go
+++ b/internal/memlog/stream.go
@@ -24,11 +24,21 @@
 }
 
 // append adds the given number of copies of one entry, drops entries beyond the
-// retention and returns the offset of the last copy and its era.
-func (s *stream) append(data []byte, copies, retention int) (ident.Offset, logservice.Era) {
+// retention and returns the offset of the last copy and its era. Of an entry that
+// must get a certain offset there is only one copy.
+func (s *stream) append(request logservice.AppendRequest, copies, retention int) (ident.Offset, logservice.Era, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	data = bytes.Clone(data)
+	if request.Era != logservice.NoEra && request.Era != s.era {
+		return ident.NoOffset, s.era, logservice.ErrEraChanged
+	}
+	if request.At != ident.NoOffset {
+		copies = 1
+		if request.At != s.nextOffset() {
+			return ident.NoOffset, s.era, logservice.ErrMoved
+		}
+	}
+	data := bytes.Clone(request.Data)
 	for range copies {
 		s.entries = append(s.entries, logservice.Entry{Offset: s.nextOffset(), Data: data})
 		s.appends++
@@ -36,7 +46,7 @@
 	}
 	s.retainLocked(retention)
 	s.notifyReaders()
-	return s.nextOffset() - 1, s.era
+	return s.nextOffset() - 1, s.era, nil
 }
 
 // page returns the entries at and after an offset, and a channel that is closed at the
--- a/internal/standin/platform/log.go
+++ b/internal/standin/platform/log.go
@@ -29,7 +29,13 @@
 		http.Error(w, "body is not whole", http.StatusBadRequest)
 		return
 	}
-	offset, era, err := p.Log.AppendInEra(r.Context(), streamOf(params), data)
+	request, err := parseAppend(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	request.Stream, request.Data = streamOf(params), data
+	offset, era, err := p.Log.AppendInEra(r.Context(), request)
 	if err != nil {
 		fail(w, err)
 		return
@@ -38,6 +44,26 @@
 	reply(w, appended{Offset: offset})
 }
 
+// parseAppend reads the conditions of an append.
+func parseAppend(r *http.Request) (logservice.AppendRequest, error) {
+	request := logservice.AppendRequest{At: ident.NoOffset}
+	if text := r.Header.Get(logservice.EraHeader); text != "" {
+		era, err := strconv.ParseUint(text, 10, 64)
+		if err != nil || era == 0 {
+			return request, errors.New("era is not a number from 1")
+		}
+		request.Era = logservice.Era(era)
+	}
+	if text := r.URL.Query().Get("at"); text != "" {
+		at, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || at < 0 {
+			return request, errors.New("at is not an offset")
+		}
+		request.At = ident.Offset(at)
+	}
+	return request, nil
+}
+
 func (p *Platform) read(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
 	request, err := parseRead(r)
 	if err != nil {
@@ -94,6 +120,10 @@
 		panic(http.ErrAbortHandler) // net/http's way to drop a connection
 	case errors.Is(err, logservice.ErrTrimmed):
 		http.Error(w, err.Error(), http.StatusGone)
+	case errors.Is(err, logservice.ErrMoved):
+		http.Error(w, err.Error(), http.StatusConflict)
+	case errors.Is(err, logservice.ErrEraChanged):
+		http.Error(w, err.Error(), http.StatusPreconditionFailed)
 	case errors.Is(err, logservice.ErrTooLarge):
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 	case errors.Is(err, memlog.ErrBadOffset):
--- a/internal/standin/platform/restore_test.go
+++ b/internal/standin/platform/restore_test.go
@@ -97,6 +97,44 @@
 	})
 }
 
+// An append made for a lost end of the stream must not take effect, also if the offset
+// matches by accident.
+func TestConditionalAppends(t *testing.T) {
+	forms(t, func(t *testing.T, ctx context.Context, h harness) {
+		older := h.mem.Copy()
+		fill(t, ctx, h, 2)
+		for _, c := range []struct {
+			era  logservice.Era
+			at   ident.Offset
+			want error
+		}{
+			{era: 1, at: 2},
+			{at: 3},
+			{era: 2, at: 4, want: logservice.ErrEraChanged},
+			{era: 2, at: ident.NoOffset, want: logservice.ErrEraChanged},
+			{era: 1, at: 3, want: logservice.ErrMoved},
+			{era: 1, at: 5, want: logservice.ErrMoved},
+			{era: 1, at: 0, want: logservice.ErrMoved},
+			{era: 1, at: ident.NoOffset},
+		} {
+			before := next(h)
+			offset, err := h.log.AppendIf(ctx, logservice.AppendRequest{Stream: stream, Data: []byte("x"), Era: c.era, At: c.at})
+			require.ErrorIs(t, err, c.want)
+			if c.want != nil {
+				require.Equal(t, before, next(h))
+				continue
+			}
+			require.Equal(t, before, offset)
+			require.Equal(t, before+1, next(h))
+		}
+		end := next(h)
+		h.mem.Restore(older)
+		fill(t, ctx, h, int(end))
+		_, err := h.log.AppendIf(ctx, logservice.AppendRequest{Stream: stream, Era: 1, At: end})
+		require.ErrorIs(t, err, logservice.ErrEraChanged)
+	})
+}
+
 // The era must be in refusals too: a caller that gets only refusals after a restore
 // has no other sign of it.
 func TestEveryAnswerOfTheLogHasTheEra(t *testing.T) {
@@ -121,6 +159,8 @@
 			status             int
 		}{
 			{http.MethodPost, "/log/x", "entry", http.StatusOK},
+			{http.MethodPost, "/log/x?at=7", "entry", http.StatusConflict},
+			{http.MethodPost, "/log/x?at=x", "entry", http.StatusBadRequest},
 			{http.MethodGet, "/log/x?from=0", "", http.StatusOK},
 			{http.MethodGet, "/log/x?from=9", "", http.StatusGone},
 			{http.MethodGet, "/log/x?from=-1", "", http.StatusBadRequest},
