stream: write lost entries again after a restore of the log

Callers of camphor-router could use tokens twice, run a request that may run once at two gates, and lose confirmed settings and bills when the log came back from an older copy: followers, writers, checkpoints and peers named entries by offset alone.

Each follower keeps the newest entries that it read. When the era rises, or the log ends before its offset, it compares the log with them and appends what is missing, each entry at its old offset. The state stays as it was meanwhile. A process whose entries cannot be written again takes the state of the log, is treated as sealed and writes nothing more: its incarnation may be another's. An era that is missing or goes back is counted, logged once and ignored.

The checkpoint in flight names the era, as writers do.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -131,6 +131,11 @@
 	n.peers = newPeerSync(n)
 	n.vmWatcher = newVMWatcher(n)
 	n.acknowledger = newAcknowledger(n)
+	n.settings.OnReset(n.fence)
+	n.fleet.OnReset(n.fence)
+	for _, shard := range n.ledger.shards {
+		shard.follower.OnReset(n.fence)
+	}
 	n.settings.OnAdvance(n.publish)
 	n.fleet.OnAdvance(n.publish)
 	n.publish()
@@ -245,6 +250,24 @@
 	})
 }
 
+// fence ends this incarnation after a restore of the log has lost entries on which the
+// process may have acted. It may hold tokens that the ledger shows as free, and its
+// incarnation may be given to another process.
+func (n *Node) fence() {
+	if n.Incarnation() == 0 {
+		return
+	}
+	n.settingsWriter.Fence()
+	n.fleetWriter.Fence()
+	for _, shard := range n.ledger.shards {
+		shard.writer.Fence()
+	}
+	n.sealOnce.Do(func() {
+		n.logger.Error().Uint64("incarnation", uint64(n.Incarnation())).Msg("log has lost entries that this process had read; the process must restart")
+		close(n.sealed)
+	})
+}
+
 // Leave announces to the fleet that the process accepts no new work.
 func (n *Node) Leave(ctx context.Context) error {
 	r, err := record.New(fleet.KindLeave, fleet.Leave{Incarnation: n.Incarnation()})
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -144,10 +144,10 @@
 	}
 }
 
-func encodeSnapshot(t *testing.T, s *settings.State) []byte {
+func encodeSnapshot(t *testing.T, s *settings.State) stream.Snapshot {
 	raw, err := s.Snapshot()
 	require.NoError(t, err)
-	return raw
+	return stream.Snapshot{Era: 1, Offset: s.Offset(), State: raw}
 }
 
 // Of concurrent changes to one subtree through different routers exactly one is
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -11,6 +11,7 @@
 	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/logservice"
 	"github.com/camphorlever/camphorlever/internal/rpc"
+	"github.com/camphorlever/camphorlever/internal/stream"
 	"github.com/camphorlever/camphorlever/internal/wire"
 )
 
@@ -76,7 +77,12 @@
 		catchUps.Inc("nothing_newer")
 		return
 	}
-	adopted, err := f.Adopt(reply.Checkpoint)
+	adopted, err := f.Adopt(stream.Snapshot{
+		Era:      logservice.Era(reply.Era),
+		Complete: reply.Complete,
+		Offset:   reply.Offset,
+		State:    reply.Checkpoint,
+	})
 	switch {
 	case err != nil:
 		catchUps.Inc("not_understood")
--- a/internal/node/restore_test.go
+++ b/internal/node/restore_test.go
@@ -1,19 +1,25 @@
 package node
 
 import (
+	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/camphorlever/camphorlever/internal/fleet"
 	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/ledger"
+	"github.com/camphorlever/camphorlever/internal/logservice"
 	"github.com/camphorlever/camphorlever/internal/memlog"
 	"github.com/camphorlever/camphorlever/internal/record"
+	"github.com/camphorlever/camphorlever/internal/rpc"
 	"github.com/camphorlever/camphorlever/internal/settings"
 	"github.com/camphorlever/camphorlever/internal/stream"
+	"github.com/camphorlever/camphorlever/internal/vmlist"
 )
 
 // submitLedger submits a record for team a and returns its verdict, or false if there
@@ -134,22 +140,33 @@
 func TestChangeBasedOnALostVersionConflicts(t *testing.T) {
 	withCluster(t, func(t *testing.T, c *cluster) {
 		r1 := c.start(fleet.RoleRouter, "r1")
-		submit := func(n *Node, id string, base ident.Offset, version string) settings.Verdict {
-			change := changeRecord(t, id, "models/m", base, settings.Bootstrap, `{"version":"`+version+`"}`)
+		submit := func(n *Node, id string, base ident.Offset) settings.Verdict {
+			change := changeRecord(t, id, "models/m", base, settings.Bootstrap, `{"version":"`+id+`"}`)
 			verdicts, err := n.SubmitSettings(withTimeout(t, time.Minute), change)
 			require.NoError(t, err)
 			return verdicts[0]
 		}
-		first := submit(r1, "1", ident.NoOffset, "1")
+		first := submit(r1, "first", ident.NoOffset)
 		older := c.log.Copy()
-		lost := submit(r1, "2", first.Version, "2")
-		require.Equal(t, settings.Accepted, lost.Outcome)
-		c.crash(r1)
+		version, lost := first.Version, []ident.Offset(nil)
+		for i := range 5 {
+			verdict := submit(r1, fmt.Sprintf("lost%d", i), version)
+			require.Equal(t, settings.Accepted, verdict.Outcome)
+			version = verdict.Version
+			lost = append(lost, version)
+		}
+		c.crash(r1) // the only process that has read the changes
 		c.log.Restore(older)
 		r2 := c.start(fleet.RoleRouter, "r2")
-		other := submit(r2, "3", first.Version, "3")
-		require.Equal(t, settings.Accepted, other.Outcome)
-		require.NotEqual(t, settings.Accepted, submit(r2, "4", lost.Version, "4").Outcome)
+		version = first.Version
+		for i := range 5 {
+			verdict := submit(r2, fmt.Sprintf("other%d", i), version)
+			require.Equal(t, settings.Accepted, verdict.Outcome)
+			version = verdict.Version
+			for j, base := range lost {
+				require.NotEqual(t, settings.Accepted, submit(r2, fmt.Sprintf("based%d-%d", i, j), base).Outcome)
+			}
+		}
 	})
 }
 
@@ -169,3 +186,103 @@
 		require.Equal(t, "7", r2.Settings().Models["m"].Version)
 	})
 }
+
+// unreachableLog is a log that one process cannot reach while it is cut off.
+type unreachableLog struct {
+	logservice.Log
+	cut atomic.Bool
+}
+
+func (l *unreachableLog) Read(ctx context.Context, request logservice.ReadRequest) (logservice.Page, error) {
+	if l.cut.Load() {
+		return logservice.Page{}, logservice.ErrUnavailable
+	}
+	request.Wait = min(request.Wait, time.Second) // a read in progress ends soon after the cut
+	return l.Log.Read(ctx, request)
+}
+
+func (l *unreachableLog) AppendIf(ctx context.Context, request logservice.AppendRequest) (ident.Offset, error) {
+	if l.cut.Load() {
+		return ident.NoOffset, logservice.ErrUnavailable
+	}
+	return l.Log.AppendIf(ctx, request)
+}
+
+// A process that alone knew some entries, and learns of the restore only after others
+// were written in their place, may hold tokens and an incarnation that others have.
+func TestProcessWithALostHistoryIsSealed(t *testing.T) {
+	withCluster(t, func(t *testing.T, c *cluster) {
+		r1 := c.start(fleet.RoleRouter, "r1")
+		_, ok := submitLedger(t, r1, ledger.KindTopUp, ledger.TopUp{Team: "a", ID: "1", Tokens: 1000})
+		require.True(t, ok)
+		older := c.log.Copy()
+		reached := &unreachableLog{Log: c.log}
+		vm := ident.VMID("vm-late")
+		c.vms.Put(vmlist.VM{ID: vm, DataCentre: "dc", State: vmlist.Live})
+		late := New(Options{
+			Role: fleet.RoleRouter, VM: vm, DataCentre: "dc", Address: "late", LedgerShards: 2,
+			Dial: func(address, _ string) rpc.Caller { return memoryCaller{cluster: c, address: address} },
+		}, reached, c.vms, zerolog.Nop())
+		require.NoError(t, late.Start(withTimeout(t, 30*time.Second)))
+		defer late.Abandon()
+		draw := ledger.Draw{Team: "a", Requested: 1000, Minimum: 1}
+		held, _ := submitLedger(t, late, ledger.KindDraw, draw)
+		require.EqualValues(t, 1000, held.Tokens)
+		c.crash(r1) // the only other process that knew of the draw
+		reached.cut.Store(true)
+		time.Sleep(5 * time.Second)
+		c.log.Restore(older)
+		r2 := c.start(fleet.RoleRouter, "r2")
+		reached.cut.Store(false)
+		eventually(t, time.Minute, func() bool { return late.Ready() != nil }, "sealed")
+		require.ErrorIs(t, late.Ready(), ErrSealed)
+		<-late.Sealed()
+		_, err := late.Ledger().Submit(withTimeout(t, time.Hour), "a", changeRecord(t, "1", "models/m", ident.NoOffset, settings.Bootstrap, `{}`))
+		require.ErrorIs(t, err, stream.ErrFenced)
+		second, _ := submitLedger(t, r2, ledger.KindDraw, draw)
+		require.EqualValues(t, 1000, second.Tokens)
+		require.NoError(t, r2.Ready())
+	})
+}
+
+// All routers and side processes go on through two restores, the second during the
+// repair of the first. Nobody may see an older state or be sealed.
+func TestFleetGoesOnThroughTwoRestores(t *testing.T) {
+	withCluster(t, func(t *testing.T, c *cluster) {
+		nodes := []*Node{
+			c.start(fleet.RoleRouter, "r1"), c.start(fleet.RoleRouter, "r2"),
+			c.start(fleet.RoleSide, "s1"), c.start(fleet.RoleSide, "s2"),
+		}
+		grantTokens(t, nodes[0], 1000)
+		older := c.log.Copy()
+		version := ident.NoOffset
+		for i := range 10 {
+			version = changeModel(t, nodes[0], fmt.Sprint(i), version, fmt.Sprintf(`{"version":"%d"}`, i))
+			_, ok := submitLedger(t, nodes[1], ledger.KindTopUp, ledger.TopUp{Team: "a", ID: fmt.Sprint("more", i), Tokens: 10})
+			require.True(t, ok)
+		}
+		time.Sleep(time.Second)
+		c.log.SetDown(true)
+		time.Sleep(2 * time.Second)
+		c.log.Restore(older)
+		c.log.SetDown(false)
+		time.Sleep(3 * time.Second)
+		c.log.Restore(older)
+		for range 100 {
+			for _, n := range nodes {
+				require.NoError(t, n.Ready())
+				require.Equal(t, "9", n.Settings().Models["m"].Version)
+				n.Ledger().View("a", func(s *ledger.State) { require.EqualValues(t, 1100, s.Budget("a").TopUps) })
+			}
+			time.Sleep(time.Second)
+		}
+		fold := rebuiltLedger(t, c)
+		require.EqualValues(t, 1100, fold.Budget("a").TopUps)
+		require.EqualValues(t, 1000, fold.Grant("a", nodes[0].Incarnation()).Granted)
+		returned, err := record.New(ledger.KindReturn, ledger.Return{Team: "a", Tokens: 1000})
+		require.NoError(t, err)
+		_, err = nodes[0].Ledger().Submit(withTimeout(t, time.Minute), "a", returned)
+		require.NoError(t, err)
+		eventually(t, time.Minute, func() bool { return freeTokens(nodes[1]) == 1100 }, "returned")
+	})
+}
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -39,12 +39,12 @@
 	if source == nil || source.Offset() <= args.After {
 		return nil
 	}
-	offset, raw, err := source.Snapshot()
+	snapshot, err := source.Snapshot()
 	if err != nil {
 		return err
 	}
-	reply.Offset = offset
-	reply.Checkpoint = raw
+	reply.Offset, reply.Checkpoint = snapshot.Offset, snapshot.State
+	reply.Era, reply.Complete = uint64(snapshot.Era), snapshot.Complete
 	return nil
 }
 
@@ -62,8 +62,8 @@
 type streamFollower interface {
 	Offset() ident.Offset
 	SyncError() error
-	Snapshot() (ident.Offset, []byte, error)
-	Adopt(snapshot []byte) (bool, error)
+	Snapshot() (stream.Snapshot, error)
+	Adopt(snapshot stream.Snapshot) (bool, error)
 }
 
 var (
--- a/internal/side/restore_test.go
+++ b/internal/side/restore_test.go
@@ -1,14 +1,19 @@
 package side
 
 import (
+	"context"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/ledger"
 	"github.com/camphorlever/camphorlever/internal/node"
+	"github.com/camphorlever/camphorlever/internal/record"
 	"github.com/camphorlever/camphorlever/internal/stream"
 )
 
@@ -33,3 +38,30 @@
 		require.Equal(t, fold.Grant(team, f.router.Incarnation()), grant)
 	})
 }
+
+// fencedLedger is a ledger to which the process may not write any more.
+type fencedLedger struct{}
+
+func (fencedLedger) Shards() int { return 1 }
+
+func (fencedLedger) SubmitShard(context.Context, int, ...record.Record) ([]ledger.Verdict, error) {
+	return nil, stream.ErrFenced
+}
+
+// A side process that has lost its incarnation must be able to stop: it may not wait
+// for settlements that it can never write.
+func TestSettlementsOfAFencedProcessAreGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settler := NewSettler(fencedLedger{}, func() int { return 1 }, zerolog.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go settler.Run(ctx)
+		ended := make(chan struct{})
+		settler.Settle(ledger.Settle{Team: team, Run: ident.RunID{Gate: 1, Number: 1}}, func() { close(ended) })
+		select {
+		case <-ended:
+		case <-time.After(time.Minute):
+			t.Fatal("the settlement is still waited for")
+		}
+	})
+}
--- a/internal/side/settler.go
+++ b/internal/side/settler.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/camphorlever/camphorlever/internal/counter"
@@ -12,6 +13,7 @@
 	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/ledger"
 	"github.com/camphorlever/camphorlever/internal/record"
+	"github.com/camphorlever/camphorlever/internal/stream"
 )
 
 const (
@@ -130,7 +132,11 @@
 func (s *Settler) writeBatch(ctx context.Context, shard int, batch []pendingSettlement) {
 	logged := false
 	for len(batch) > 0 && ctx.Err() == nil {
-		undecided := s.tryWrite(ctx, shard, batch)
+		undecided, err := s.tryWrite(ctx, shard, batch)
+		if errors.Is(err, stream.ErrFenced) {
+			s.giveUp(shard, batch)
+			return
+		}
 		if len(undecided) == len(batch) {
 			if !logged {
 				s.log.Warn().Int("shard", shard).Int("runs", len(batch)).Msg("settlements could not be written to the ledger; retrying")
@@ -142,9 +148,19 @@
 	}
 }
 
+// giveUp drops settlements that this process may not write any more. The routers that
+// began the runs settle them from their own records.
+func (s *Settler) giveUp(shard int, batch []pendingSettlement) {
+	s.counts.Add("given_up", int64(len(batch)))
+	s.log.Error().Int("shard", shard).Int("runs", len(batch)).Msg("settlements given up: incarnation was lost in a restore of the log")
+	for _, u := range batch {
+		u.onSettled()
+	}
+}
+
 // tryWrite writes a batch once and returns the settlements without a final
 // verdict.
-func (s *Settler) tryWrite(ctx context.Context, shard int, batch []pendingSettlement) []pendingSettlement {
+func (s *Settler) tryWrite(ctx context.Context, shard int, batch []pendingSettlement) ([]pendingSettlement, error) {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	records := make([]record.Record, len(batch))
@@ -158,7 +174,7 @@
 	verdicts, err := s.ledger.SubmitShard(ctx, shard, records...)
 	if err != nil || len(verdicts) != len(batch) {
 		s.counts.Inc("retry")
-		return batch
+		return batch, err
 	}
 	var undecided []pendingSettlement
 	for i, u := range batch {
@@ -168,7 +184,7 @@
 		}
 		u.onSettled()
 	}
-	return undecided
+	return undecided, nil
 }
 
 // isFinal reports whether a verdict is final, and counts the verdict by outcome.
--- a/internal/stream/checkpointer.go
+++ b/internal/stream/checkpointer.go
@@ -68,19 +68,27 @@
 // Write appends one checkpoint of the current state. It writes nothing while the
 // state is at the beginning of the stream.
 func (c *Checkpointer[F, V]) Write(ctx context.Context) error {
-	offset, snapshot, err := c.follower.Snapshot()
+	snapshot, err := c.follower.Snapshot()
 	if err != nil {
 		return err
 	}
-	if offset == ident.NoOffset {
+	if snapshot.Offset == ident.NoOffset {
 		return nil
 	}
-	for _, chunk := range splitSnapshot(offset, snapshot, maxChunkBytes) {
+	for _, chunk := range splitSnapshot(snapshot.Offset, snapshot.State, maxChunkBytes) {
 		r, err := record.New(c.follower.spec.CheckpointKind, chunk)
 		if err != nil {
 			return err
 		}
-		if _, err := c.writer.Submit(ctx, r); err != nil {
+		records := []record.Record{r}
+		if snapshot.Era > 1 && snapshot.Complete && chunk.Index == 0 {
+			marker, err := newEraMarker(snapshot.Era)
+			if err != nil {
+				return err
+			}
+			records = append(records, marker)
+		}
+		if _, err := c.writer.Submit(ctx, records...); err != nil {
 			return err
 		}
 	}
--- a/internal/stream/fold_test.go
+++ b/internal/stream/fold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -100,11 +101,13 @@
 	writer *Writer[*sum, int]
 	cancel context.CancelFunc
 	work   conc.WaitGroup
+	resets atomic.Int64 // times that the state was replaced by an older one
 }
 
 func startProcess(log logservice.Log, writer ident.Incarnation, maxLevel uint16) *process {
 	p := &process{Follower: NewFollower(log, sumSpec(maxLevel), zerolog.Nop())}
 	p.writer = NewWriter(p.Follower, func() ident.Incarnation { return writer })
+	p.OnReset(func() { p.resets.Add(1) })
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	p.work.Go(func() { p.Follower.Run(ctx) })
--- a/internal/stream/follower.go
+++ b/internal/stream/follower.go
@@ -18,7 +18,9 @@
 var readEvents = counter.NewSet("log_reads")
 
 // Follower keeps a fold up to date with its stream. A failed read changes
-// nothing: the last state stays readable, and its offset never decreases.
+// nothing: the last state stays readable. Its offset never decreases, unless the log
+// came back from an older copy and nobody could write the lost entries again, see
+// OnReset.
 type Follower[F Fold[V], V any] struct {
 	log    logservice.Log
 	spec   Spec[F, V]
@@ -37,6 +39,16 @@
 	checkpointCompletedAt time.Time // when the last complete checkpoint was read
 	checkpointStartedAt   time.Time // when the first chunk of the newest checkpoint was read
 	advanceHooks          []func()
+	resetHooks            []func()
+
+	era          logservice.Era // highest era seen
+	answeredEra  logservice.Era // of the last answer that had one
+	markedEra    logservice.Era // highest era whose marker was read
+	badEraLogged bool
+	eraRefused   bool      // the log has refused era; answeredEra is named in appends
+	changedAt    time.Time // when entries were last read, or reading last failed
+	tail         tail
+	recovery     recovery
 }
 
 // readBack is the outcome of a batch.
@@ -92,6 +104,9 @@
 	if err := f.checkSupported(); err != nil {
 		return err
 	}
+	if f.recovery.active {
+		return f.recover(ctx)
+	}
 	page, err := read(ctx, f.log, logservice.ReadRequest{
 		Stream: f.spec.Stream,
 		From:   f.Offset() + 1,
@@ -99,27 +114,41 @@
 		Wait:   f.pollWait(),
 	})
 	if errors.Is(err, logservice.ErrTrimmed) {
-		return f.rebuild(ctx)
+		return f.recover(ctx)
 	}
 	if err != nil {
 		return err
 	}
-	return f.apply(page)
+	if f.noteEra(page.Era) {
+		return f.recover(ctx)
+	}
+	if err := f.apply(page); err != nil {
+		return err
+	}
+	return f.markComplete(ctx)
 }
 
 // pollWait returns how long a read may wait for new entries: zero until a
 // read has succeeded and after a failed one, so that the result comes without
 // delay.
 func (f *Follower[F, V]) pollWait() time.Duration {
-	if f.SyncError() != nil {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.syncErr != nil:
 		return 0
+	case !f.complete():
+		return f.untilMark()
+	default:
+		return pollWait
 	}
-	return pollWait
 }
 
 func (f *Follower[F, V]) recordFailure(err error, failures int) {
 	f.mu.Lock()
 	f.syncErr = err
+	// Others may not have reached the log either, and may still have to write.
+	f.changedAt = time.Now()
 	f.mu.Unlock()
 	readEvents.Inc(string(f.spec.Stream) + ".failed")
 	if failures == 0 {
@@ -144,24 +173,45 @@
 	if err != nil {
 		return err
 	}
+	if f.noteEra(built.era) {
+		return errRestoredAgain
+	}
 	if !f.replaceFold(built.fold) {
 		return errors.Wrapf(ErrNoCheckpoint, "rebuilt %s only to offset %d", f.spec.Stream, built.fold.Offset())
 	}
 	f.mu.Lock()
-	f.first, f.next, f.checkpoints = built.first, built.next, built.checkpoints
+	f.adoptRebuilt(built)
 	f.mu.Unlock()
 	f.logger.Info().Int64("offset", int64(built.fold.Offset())).Msg("state was rebuilt from the log")
 	return nil
 }
 
+// adoptRebuilt takes over what was read while the fold was rebuilt. The caller holds
+// the lock.
+func (f *Follower[F, V]) adoptRebuilt(built rebuilt[F]) {
+	f.first, f.next, f.checkpoints = built.first, built.next, built.checkpoints
+	f.tail = built.tail
+	f.markedEra = max(f.markedEra, built.markedEra)
+}
+
 // Adopt replaces the state by a peer's snapshot if that is newer, and reports
-// whether it did. It returns an error if the snapshot cannot be loaded.
-func (f *Follower[F, V]) Adopt(snapshot []byte) (bool, error) {
-	fold, err := f.spec.Load(snapshot)
+// whether it did. A snapshot of another era may include entries that the log has
+// lost and is not adopted. It returns an error if the snapshot cannot be loaded.
+func (f *Follower[F, V]) Adopt(snapshot Snapshot) (bool, error) {
+	fold, err := f.spec.Load(snapshot.State)
 	if err != nil {
 		return false, err
 	}
-	return f.replaceFold(fold), nil
+	f.mu.Lock()
+	if f.era == logservice.NoEra {
+		f.era, f.answeredEra = snapshot.Era, snapshot.Era
+	}
+	sameEra := snapshot.Era == f.era && !f.recovery.active
+	if sameEra && snapshot.Complete {
+		f.markedEra = max(f.markedEra, snapshot.Era)
+	}
+	f.mu.Unlock()
+	return sameEra && f.replaceFold(fold), nil
 }
 
 // replaceFold replaces the fold if the given one is newer. Pending batches may be
@@ -171,6 +221,7 @@
 	newer := fold.Offset() > f.fold.Offset()
 	if newer {
 		f.fold = fold
+		f.tail.clear(fold.Offset() + 1)
 		f.resolveSkipped()
 		f.notifyAdvanced()
 	}
@@ -197,8 +248,9 @@
 
 func (f *Follower[F, V]) apply(page logservice.Page) error {
 	f.mu.Lock()
+	firstRead := f.syncedAt.IsZero()
 	err := f.applyLocked(page)
-	if len(page.Entries) > 0 {
+	if len(page.Entries) > 0 || firstRead {
 		f.notifyAdvanced()
 	}
 	f.mu.Unlock()
@@ -213,6 +265,9 @@
 	f.next = page.Next
 	f.syncedAt = time.Now()
 	f.syncErr = nil
+	if len(page.Entries) > 0 {
+		f.changedAt = f.syncedAt
+	}
 	for _, entry := range page.Entries {
 		if entry.Offset <= f.fold.Offset() {
 			continue // a peer's snapshot adopted in the meantime includes it
@@ -221,6 +276,7 @@
 			return errors.Wrapf(logservice.ErrUnavailable, "gap before offset %d", entry.Offset)
 		}
 		verdicts := f.fold.Apply(entry.Offset, entry.Data)
+		f.tail.add(entry.Offset, entry.Data)
 		f.observeEntry(entry, verdicts)
 		if !f.fold.Supported() {
 			return ErrUnsupported
@@ -236,6 +292,7 @@
 	if err != nil {
 		return
 	}
+	f.markedEra = max(f.markedEra, markedEra(batch))
 	if done, ok := f.pending[batch.Identity]; ok {
 		delete(f.pending, batch.Identity)
 		done <- readBack[V]{verdicts: verdicts}
--- a/internal/stream/rebuild.go
+++ b/internal/stream/rebuild.go
@@ -8,6 +8,7 @@
 
 	"github.com/camphorlever/camphorlever/internal/ident"
 	"github.com/camphorlever/camphorlever/internal/logservice"
+	"github.com/camphorlever/camphorlever/internal/record"
 )
 
 // Limits of one read.
@@ -46,25 +47,34 @@
 	checkpoints *chunkAssembler
 	first       ident.Offset
 	next        ident.Offset
+	era         logservice.Era // of the end of the stream
+	markedEra   logservice.Era // highest era whose marker was read
+	tail        tail
 }
 
 func rebuild[F Fold[V], V any](ctx context.Context, log logservice.Log, spec Spec[F, V]) (rebuilt[F], error) {
-	first, next, err := RetainedRange(ctx, log, spec.Stream)
-	built := rebuilt[F]{fold: spec.New(), checkpoints: newChunkAssembler(spec.CheckpointKind, false), first: first, next: next}
+	end, err := read(ctx, log, logservice.ReadRequest{Stream: spec.Stream, From: logservice.End, Max: 1})
+	first, next := end.First, end.Next
+	built := rebuilt[F]{fold: spec.New(), checkpoints: newChunkAssembler(spec.CheckpointKind, false), first: first, next: next, era: end.Era}
 	if err != nil {
 		return built, err
 	}
 	if first > 0 {
-		built.fold, err = loadCheckpoint(ctx, log, spec, first, next)
+		built.fold, err = loadCheckpoint(ctx, log, spec, end.Era, first, next)
 		if err != nil {
 			return built, err
 		}
 		built.checkpoints.completeOffset = built.fold.Offset()
 	}
-	err = scan(ctx, log, spec.Stream, built.fold.Offset()+1, next, func(entry logservice.Entry) {
+	built.tail.clear(built.fold.Offset() + 1)
+	err = scan(ctx, log, spec.Stream, end.Era, built.fold.Offset()+1, next, func(entry logservice.Entry) {
 		if built.fold.Supported() {
 			built.fold.Apply(entry.Offset, entry.Data)
+			built.tail.add(entry.Offset, entry.Data)
 			built.checkpoints.addEntry(entry)
+			if batch, err := record.Unmarshal(entry.Data); err == nil {
+				built.markedEra = max(built.markedEra, markedEra(batch))
+			}
 		}
 	})
 	return built, err
@@ -73,10 +83,10 @@
 // loadCheckpoint loads the newest complete checkpoint among the retained entries.
 // It returns ErrNoCheckpoint if trimmed entries follow that checkpoint, because
 // the state would then have a gap.
-func loadCheckpoint[F Fold[V], V any](ctx context.Context, log logservice.Log, spec Spec[F, V], first, next ident.Offset) (F, error) {
+func loadCheckpoint[F Fold[V], V any](ctx context.Context, log logservice.Log, spec Spec[F, V], era logservice.Era, first, next ident.Offset) (F, error) {
 	var none F
 	assembler := newChunkAssembler(spec.CheckpointKind, true)
-	if err := scan(ctx, log, spec.Stream, first, next, assembler.addEntry); err != nil {
+	if err := scan(ctx, log, spec.Stream, era, first, next, assembler.addEntry); err != nil {
 		return none, err
 	}
 	if assembler.completeOffset < first-1 {
@@ -92,13 +102,17 @@
 	return fold, nil
 }
 
-// scan visits the entries from one offset up to, but not including, another.
-func scan(ctx context.Context, log logservice.Log, stream logservice.Stream, from, to ident.Offset, visit func(logservice.Entry)) error {
+// scan visits the entries from one offset up to, but not including, another. It fails
+// if the log is restored meanwhile.
+func scan(ctx context.Context, log logservice.Log, stream logservice.Stream, era logservice.Era, from, to ident.Offset, visit func(logservice.Entry)) error {
 	for from < to {
 		page, err := read(ctx, log, logservice.ReadRequest{Stream: stream, From: from, Max: maxPageEntries})
 		if err != nil {
 			return err
 		}
+		if era != logservice.NoEra && page.Era > era {
+			return errRestoredAgain
+		}
 		if len(page.Entries) == 0 {
 			return errors.Wrapf(logservice.ErrUnavailable, "stream %s ends at %d, before %d", stream, from, to)
 		}
--- a/internal/stream/rebuild_test.go
+++ b/internal/stream/rebuild_test.go
@@ -62,9 +62,10 @@
 		before, _ := followerTotals(slow)
 		_, err := p.add(t, 1000)
 		require.NoError(t, err)
-		offset, snapshot, err := p.Snapshot()
+		snapshot, err := p.Snapshot()
 		require.NoError(t, err)
-		chunks := splitSnapshot(offset, snapshot, 16)
+		offset := snapshot.Offset
+		chunks := splitSnapshot(offset, snapshot.State, 16)
 		require.Greater(t, len(chunks), 2)
 		for i, chunk := range chunks {
 			log.Trim(testStream, offset+1)
@@ -92,7 +93,7 @@
 		defer p.stop()
 		_, err := p.add(t, 1)
 		require.NoError(t, err)
-		offset, old, err := p.Snapshot()
+		old, err := p.Snapshot()
 		require.NoError(t, err)
 		for range 10 {
 			_, err = p.add(t, 1)
@@ -102,7 +103,7 @@
 		covered := p.Offset() - 1
 		late := startProcess(log, 8, 1)
 		defer late.stop()
-		for _, chunk := range splitSnapshot(offset, old, maxChunkBytes) {
+		for _, chunk := range splitSnapshot(old.Offset, old.State, maxChunkBytes) {
 			r, err := record.New(kindCheckpoint, chunk)
 			require.NoError(t, err)
 			_, err = late.writer.Submit(withTimeout(t, time.Minute), r)
@@ -162,7 +163,7 @@
 		defer p.stop()
 		_, err := p.add(t, 1)
 		require.NoError(t, err)
-		_, old, err := p.Snapshot()
+		old, err := p.Snapshot()
 		require.NoError(t, err)
 		_, err = p.add(t, 2)
 		require.NoError(t, err)
--- a/internal/stream/state.go
+++ b/internal/stream/state.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/camphorlever/camphorlever/internal/ident"
+	"github.com/camphorlever/camphorlever/internal/logservice"
 	"github.com/camphorlever/camphorlever/internal/record"
 )
 
@@ -62,12 +63,26 @@
 	return f.syncedAt
 }
 
-// Snapshot returns the encoded state and the offset of its last entry.
-func (f *Follower[F, V]) Snapshot() (ident.Offset, []byte, error) {
+// Snapshot is an encoded state. Offset is that of its last entry, in the era of the
+// log that the state agrees with. Complete means that the log has all entries again
+// that it lost before this era.
+type Snapshot struct {
+	Era      logservice.Era
+	Complete bool
+	Offset   ident.Offset
+	State    []byte
+}
+
+// Snapshot returns the encoded state. It fails while the log is compared with the
+// state after a restore.
+func (f *Follower[F, V]) Snapshot() (Snapshot, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.recovery.active {
+		return Snapshot{}, errors.New("log was restored and is not complete yet")
+	}
 	raw, err := f.fold.Snapshot()
-	return f.fold.Offset(), raw, err
+	return Snapshot{Era: f.era, Complete: f.complete(), Offset: f.fold.Offset(), State: raw}, err
 }
 
 // WaitForOffset returns nil once the state has reached an offset, and an error
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -45,6 +45,9 @@
 	ErrOutcomeUnknown = errors.New("outcome of the append is not known yet")
 	// ErrNotWritten means that the records were not written and will not be.
 	ErrNotWritten = errors.New("records were not written")
+	// ErrFenced means that the process has lost its incarnation in a restore of
+	// the log and may write nothing more. Records submitted before may take effect.
+	ErrFenced = errors.New("incarnation was lost in a restore of the log")
 	// ErrUnsupported means that the stream has a format level that this
 	// program does not understand.
 	ErrUnsupported = errors.New("stream has a newer format level")
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -163,7 +163,7 @@
 		defer peer.stop()
 		_, err := p.add(t, 1)
 		require.NoError(t, err)
-		_, before, err := peer.Snapshot()
+		before, err := peer.Snapshot()
 		require.NoError(t, err)
 		log.unreadable.Store(true)
 		time.Sleep(2 * time.Second)
@@ -177,7 +177,7 @@
 		require.False(t, adopted)
 		_, err = peer.add(t, 100)
 		require.NoError(t, err)
-		_, after, err := peer.Snapshot()
+		after, err := peer.Snapshot()
 		require.NoError(t, err)
 		adopted, err = p.Adopt(after)
 		require.NoError(t, err)
@@ -204,7 +204,7 @@
 		state.Marks[7] = sequence
 		raw, err := state.Snapshot()
 		require.NoError(t, err)
-		adopted, err := f.Adopt(raw)
+		adopted, err := f.Adopt(Snapshot{Offset: state.At, State: raw})
 		require.NoError(t, err)
 		require.True(t, adopted)
 		select {
--- a/internal/stream/writer.go
+++ b/internal/stream/writer.go
@@ -36,6 +36,8 @@
 	identity func() ident.Incarnation
 	logger   zerolog.Logger
 	queued   chan struct{} // signals that a submission was queued
+	fenced   chan struct{} // closed by Fence
+	fence    sync.Once
 
 	mu       sync.Mutex // guards queue and inBatch of its submissions
 	queue    []*submission[V]
@@ -63,9 +65,16 @@
 		identity: identity,
 		logger:   follower.logger,
 		queued:   make(chan struct{}, 1),
+		fenced:   make(chan struct{}),
 	}
 }
 
+// Fence stops the writer for good: its incarnation may have been given to another
+// process after a restore of the log. All submissions fail with ErrFenced.
+func (w *Writer[F, V]) Fence() {
+	w.fence.Do(func() { close(w.fenced) })
+}
+
 // Submit writes records and returns the fold's verdict on each once the batch
 // was read back. Records of concurrent callers share an append. When ctx ends
 // first it returns ErrNotWritten if the records were not yet part of an append,
@@ -83,6 +92,8 @@
 	select {
 	case r := <-s.done:
 		return r.verdicts, r.err
+	case <-w.fenced:
+		return nil, ErrFenced
 	case <-ctx.Done():
 		return nil, w.withdraw(s)
 	}
@@ -135,7 +146,7 @@
 
 // Run writes the queued records until ctx ends.
 func (w *Writer[F, V]) Run(ctx context.Context) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !w.isFenced() {
 		writer := w.identity()
 		var batch []*submission[V]
 		if writer != 0 {
@@ -151,11 +162,21 @@
 				sleep(ctx, backoffBase, nil)
 				w.notifyQueued()
 			}
+		case <-w.fenced:
 		case <-ctx.Done():
 		}
 	}
 }
 
+func (w *Writer[F, V]) isFenced() bool {
+	select {
+	case <-w.fenced:
+		return true
+	default:
+		return false
+	}
+}
+
 // nextBatch removes the submissions of the next batch from the queue. A batch
 // has at least one submission if any is queued, even one beyond the limits.
 func (w *Writer[F, V]) nextBatch() []*submission[V] {
@@ -208,11 +229,29 @@
 }
 
 // appendUntilReadBack appends a batch repeatedly until it is read back. After each
-// append it gives the follower time to read the batch before it appends again.
+// append it gives the follower time to read the batch before it appends again. While
+// entries that a restore has lost may be written again, it appends nothing: the batch
+// would take the offset of one of them.
 func (w *Writer[F, V]) appendUntilReadBack(ctx context.Context, identity record.Identity, data []byte) (readBack[V], error) {
 	done := w.follower.registerPending(identity)
 	for failures := 0; ; failures++ {
-		wait, err := w.appendOnce(ctx, data, failures)
+		era, ok := w.follower.appendEra()
+		for ; !ok; era, ok = w.follower.appendEra() {
+			timer := time.NewTimer(heldPollInterval)
+			select {
+			case back := <-done:
+				timer.Stop()
+				return back, nil
+			case <-timer.C:
+			case <-w.fenced:
+				timer.Stop()
+				return readBack[V]{}, ErrFenced
+			case <-ctx.Done():
+				timer.Stop()
+				return readBack[V]{}, ErrOutcomeUnknown
+			}
+		}
+		wait, err := w.appendOnce(ctx, era, data, failures)
 		if errors.Is(err, logservice.ErrTooLarge) {
 			w.follower.dropPending(identity)
 			return readBack[V]{}, errors.Wrap(ErrNotWritten, err.Error())
@@ -224,6 +263,9 @@
 			return back, nil
 		case <-timer.C:
 			appendEvents.Inc(string(w.follower.spec.Stream) + ".retries." + retryReason(err))
+		case <-w.fenced:
+			timer.Stop()
+			return readBack[V]{}, ErrFenced
 		case <-ctx.Done():
 			timer.Stop()
 			return readBack[V]{}, ErrOutcomeUnknown
@@ -231,12 +273,13 @@
 	}
 }
 
-// appendOnce appends the batch once and returns how long to wait for the
-// read-back before the next append.
-func (w *Writer[F, V]) appendOnce(ctx context.Context, data []byte, failures int) (time.Duration, error) {
+// appendOnce appends the batch once, in the given era only, and returns how long to
+// wait for the read-back before the next append.
+func (w *Writer[F, V]) appendOnce(ctx context.Context, era logservice.Era, data []byte, failures int) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	_, err := w.log.Append(ctx, w.follower.spec.Stream, data)
+	_, err := w.log.AppendIf(ctx, logservice.AppendRequest{Stream: w.follower.spec.Stream, Data: data, Era: era, At: ident.NoOffset})
+	w.follower.noteAppend(err)
 	w.follower.wakeReader()
 	if err == nil {
 		return readBackTimeout, nil
@@ -247,15 +290,22 @@
 	return retryDelay(failures), err
 }
 
+// heldPollInterval is how often a writer checks whether it may append.
+const heldPollInterval = 50 * time.Millisecond
+
 // readBackTimeout is how long an acknowledged append may take to be read back
 // before it is appended again. The fold ignores the repeated batch.
 const readBackTimeout = 30 * time.Second
 
 func retryReason(err error) string {
-	if err == nil {
+	switch {
+	case err == nil:
 		return "not_read_back"
+	case errors.Is(err, logservice.ErrEraChanged):
+		return "era_changed"
+	default:
+		return "unavailable"
 	}
-	return "unavailable"
 }
 
 func (w *Writer[F, V]) countAppend(batch record.Batch, size int) {
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -191,6 +191,10 @@
 	Offsets    Offsets
 	Offset     ident.Offset
 	Checkpoint []byte
+	// Era is the era of the log that the fold agrees with. Complete means that the
+	// log has all entries again that it lost before this era.
+	Era      uint64
+	Complete bool
 }
 
 // PingArgs is a heartbeat.
