--- a/internal/node/restore_test.go
+++ b/internal/node/restore_test.go
@@ -208,6 +208,19 @@
 	return l.Log.AppendIf(ctx, request)
 }
 
+// cutOffRouter starts a router whose access to the log can be cut.
+func cutOffRouter(t *testing.T, c *cluster, name string) (*Node, *unreachableLog) {
+	log := &unreachableLog{Log: c.log}
+	vm := ident.VMID("vm-" + name)
+	c.vms.Put(vmlist.VM{ID: vm, DataCentre: "dc", State: vmlist.Live})
+	n := New(Options{
+		Role: fleet.RoleRouter, VM: vm, DataCentre: "dc", Address: name, LedgerShards: 2,
+		Dial: func(address, _ string) rpc.Caller { return memoryCaller{cluster: c, address: address} },
+	}, log, c.vms, zerolog.Nop())
+	require.NoError(t, n.Start(withTimeout(t, 30*time.Second)))
+	return n, log
+}
+
 // A process that alone knew some entries, and learns of the restore only after others
 // were written in their place, may hold tokens and an incarnation that others have.
 func TestProcessWithALostHistoryIsSealed(t *testing.T) {
@@ -216,28 +229,23 @@
 		_, ok := submitLedger(t, r1, ledger.KindTopUp, ledger.TopUp{Team: "a", ID: "1", Tokens: 1000})
 		require.True(t, ok)
 		older := c.log.Copy()
-		reached := &unreachableLog{Log: c.log}
-		vm := ident.VMID("vm-late")
-		c.vms.Put(vmlist.VM{ID: vm, DataCentre: "dc", State: vmlist.Live})
-		late := New(Options{
-			Role: fleet.RoleRouter, VM: vm, DataCentre: "dc", Address: "late", LedgerShards: 2,
-			Dial: func(address, _ string) rpc.Caller { return memoryCaller{cluster: c, address: address} },
-		}, reached, c.vms, zerolog.Nop())
-		require.NoError(t, late.Start(withTimeout(t, 30*time.Second)))
+		late, access := cutOffRouter(t, c, "late")
 		defer late.Abandon()
 		draw := ledger.Draw{Team: "a", Requested: 1000, Minimum: 1}
 		held, _ := submitLedger(t, late, ledger.KindDraw, draw)
 		require.EqualValues(t, 1000, held.Tokens)
 		c.crash(r1) // the only other process that knew of the draw
-		reached.cut.Store(true)
+		access.cut.Store(true)
 		time.Sleep(5 * time.Second)
 		c.log.Restore(older)
 		r2 := c.start(fleet.RoleRouter, "r2")
-		reached.cut.Store(false)
+		access.cut.Store(false)
 		eventually(t, time.Minute, func() bool { return late.Ready() != nil }, "sealed")
 		require.ErrorIs(t, late.Ready(), ErrSealed)
 		<-late.Sealed()
-		_, err := late.Ledger().Submit(withTimeout(t, time.Hour), "a", changeRecord(t, "1", "models/m", ident.NoOffset, settings.Bootstrap, `{}`))
+		returned, err := record.New(ledger.KindReturn, ledger.Return{Team: "a", Tokens: 1000})
+		require.NoError(t, err)
+		_, err = late.Ledger().Submit(withTimeout(t, time.Hour), "a", returned)
 		require.ErrorIs(t, err, stream.ErrFenced)
 		second, _ := submitLedger(t, r2, ledger.KindDraw, draw)
 		require.EqualValues(t, 1000, second.Tokens)
@@ -245,6 +253,36 @@
 	})
 }
 
+// A process that is cut off through the restore and the repair must go on when others
+// have written its entries again; its tokens must still be its own.
+func TestCutOffProcessGoesOnWhenOthersWroteItsEntries(t *testing.T) {
+	withCluster(t, func(t *testing.T, c *cluster) {
+		r1 := c.start(fleet.RoleRouter, "r1")
+		_, ok := submitLedger(t, r1, ledger.KindTopUp, ledger.TopUp{Team: "a", ID: "1", Tokens: 1000})
+		require.True(t, ok)
+		older := c.log.Copy()
+		late, access := cutOffRouter(t, c, "late")
+		defer late.Abandon()
+		draw := ledger.Draw{Team: "a", Requested: 1000, Minimum: 1}
+		held, _ := submitLedger(t, late, ledger.KindDraw, draw)
+		require.EqualValues(t, 1000, held.Tokens)
+		time.Sleep(time.Second)
+		access.cut.Store(true)
+		time.Sleep(5 * time.Second)
+		c.log.Restore(older)
+		second, _ := submitLedger(t, r1, ledger.KindDraw, draw)
+		require.Zero(t, second.Tokens)
+		time.Sleep(5 * time.Minute)
+		access.cut.Store(false)
+		returned, err := record.New(ledger.KindReturn, ledger.Return{Team: "a", Tokens: 1000})
+		require.NoError(t, err)
+		verdicts, err := late.Ledger().Submit(withTimeout(t, time.Minute), "a", returned)
+		require.NoError(t, err)
+		require.Equal(t, ledger.Accepted, verdicts[0].Outcome)
+		require.NoError(t, late.Ready())
+	})
+}
+
 // All routers and side processes go on through two restores, the second during the
 // repair of the first. Nobody may see an older state or be sealed.
 func TestFleetGoesOnThroughTwoRestores(t *testing.T) {
--- a/internal/stream/follower.go
+++ b/internal/stream/follower.go
@@ -292,7 +292,7 @@
 	if err != nil {
 		return
 	}
-	f.markedEra = max(f.markedEra, markedEra(batch))
+	f.noteMarker(markedEra(batch))
 	if done, ok := f.pending[batch.Identity]; ok {
 		delete(f.pending, batch.Identity)
 		done <- readBack[V]{verdicts: verdicts}
--- a/internal/stream/restored.go
+++ b/internal/stream/restored.go
@@ -299,6 +299,16 @@
 	return f.era <= 1 || f.markedEra >= f.era
 }
 
+// noteMarker records the marker of an era. The caller holds the lock.
+func (f *Follower[F, V]) noteMarker(era logservice.Era) {
+	held := !f.complete()
+	f.markedEra = max(f.markedEra, era)
+	if held && f.complete() && !f.recovery.startedAt.IsZero() {
+		f.logger.Info().Uint64("era", uint64(f.era)).Dur("held", time.Since(f.recovery.startedAt)).
+			Msg("stream is complete after the restore; new records are written")
+	}
+}
+
 // appendEra returns the era that an append of new entries must name, and false while
 // there may be none because entries that a restore has lost may still be written again.
 func (f *Follower[F, V]) appendEra() (logservice.Era, bool) {
