e2e: a router is frozen through two restores of the log

It goes on with its tokens after the repair, since the other processes have written its records again; orders run once and every run is billed once.

--- a/test/e2e/restore_test.go
+++ b/test/e2e/restore_test.go
@@ -78,3 +78,35 @@
 	f.audited(append(keys, "order-in-repair")...)
 	f.audited(orders...)
 }
+
+// A router that is frozen through two restores and the repair must go on with the tokens
+// that it held: the other processes have written its records again.
+func TestRouterIsFrozenThroughTwoRestores(t *testing.T) {
+	f := newFleet(t, 2, time.Millisecond)
+	f.copyLog("older")
+	var keys []string
+	for i := range 4 {
+		key := fmt.Sprintf("lost-%d", i)
+		keys = append(keys, key)
+		require.Empty(t, f.chat(i%2, key, key, false))
+	}
+	require.Equal(t, http.StatusOK, f.order(0, "lost-order").Status)
+	f.audited(append(keys, "lost-order")...)
+	f.routers[0].signal(syscall.SIGSTOP)
+	f.restoreLog("older")
+	time.Sleep(time.Second)
+	f.restoreLog("older")
+	require.Eventually(t, func() bool { return f.order(1, "new-order").Status == http.StatusOK }, repairWait, poll)
+	f.routers[0].signal(syscall.SIGCONT)
+	for i := range 4 {
+		key := fmt.Sprintf("woken-%d", i)
+		keys = append(keys, key)
+		f.succeeds(func() string { return f.chat(i%2, key, key, false) })
+	}
+	for _, key := range []string{"lost-order", "new-order"} {
+		f.succeeds(func() string { return wrongOrder(f.order(0, key)) })
+		require.Equal(t, 1, f.runs(f.desks[0])[ident.HashKey(team, key).String()], key)
+	}
+	f.audited(append(keys, "lost-order", "new-order")...)
+	require.Equal(t, http.StatusOK, f.call(http.MethodGet, f.routers[0].admin+"/readyz", nil), "the frozen router is not sealed")
+}
