--- a/internal/prepaid/restore_test.go
+++ b/internal/prepaid/restore_test.go
@@ -478,6 +478,18 @@
 	require.False(t, l.Unsettled())
 }
 
+func (l *Ledger) ownPartOf(account string) ownPart {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.own[account]
+}
+
+func (l *Ledger) partOf(account string, w writer) part {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.entries[account].Parts[w]
+}
+
 // sendTo sends requests to one router for a while.
 func (f *cluster) sendTo(t *testing.T, router int, span time.Duration) {
 	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
@@ -497,9 +509,8 @@
 		for range 20 {
 			f.sendTo(t, 0, 330*time.Millisecond)
 			synctest.Wait()
-			drawer, other := f.routers[0].shardAt(0).ledger, f.routers[1].shardAt(0).ledger
-			own := drawer.own["maps"]
-			require.GreaterOrEqual(t, other.entries["maps"].Parts[own.writer].Net, own.Net)
+			own := f.routers[0].shardAt(0).ledger.ownPartOf("maps")
+			require.GreaterOrEqual(t, f.routers[1].shardAt(0).ledger.partOf("maps", own.writer).Net, own.Net)
 		}
 	})
 }
@@ -520,11 +531,11 @@
 		f.stops[0]()
 		synctest.Wait()
 		f.setPartitioned(false)
-		own := f.routers[0].shardAt(0).ledger.own["maps"]
+		own := f.routers[0].shardAt(0).ledger.ownPartOf("maps")
 		f.log.restore(older)
 		successor := NewLocalBalances(f.log, Streams{Budgets: stream, Layout: "layout", Shards: 1}, "1/successor", f.settings, clusterPeers{f, 1}, zerolog.Nop())
 		go successor.Run(t.Context())
 		time.Sleep(4 * time.Second)
-		require.Equal(t, own.Net, successor.shardAt(0).ledger.entries["maps"].Parts[own.writer].Net)
+		require.Equal(t, own.Net, successor.shardAt(0).ledger.partOf("maps", own.writer).Net)
 	})
 }
