quarantine: evidence that no router received is sent again

What callers may see: all requests of a service get 503 for 10 to 20 minutes, since a sound part that they share is in quarantine at all routers.

The sound part was in quarantine, so it travelled by the log. The deadly one had crashes of one depth only, so it was not in the log, and each router knew one of its three crashes. So nothing explained the crashes of the sound part, which had three, and it was withheld as certain. The same holds if all calls of a message fail, as calls of more than 120 ms do.

Now Gossip reports whether any router received the message, and if none did, the evidence is sent again 250 ms later.

--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 
 	"github.com/sourcegraph/conc"
 
@@ -20,12 +21,18 @@
 
 // Gossip implements quarantine.Gossiper. Routers that cannot be reached are not told;
 // they learn from others, or from the log what matters longer.
-func (c *Client) Gossip(ctx context.Context, evidence []quarantine.Evidence) {
+func (c *Client) Gossip(ctx context.Context, evidence []quarantine.Evidence) bool {
 	var calls conc.WaitGroup
+	var told atomic.Bool
 	for _, peer := range c.randomPeers(gossipFanout) {
-		calls.Go(func() { _ = c.call(ctx, peer, "Report", &EvidenceArgs{Evidence: evidence}, &struct{}{}) }) // counted by call
+		calls.Go(func() {
+			if c.call(ctx, peer, "Report", &EvidenceArgs{Evidence: evidence}, &struct{}{}) == nil { // failures are counted by call
+				told.Store(true)
+			}
+		})
 	}
 	calls.Wait()
+	return told.Load()
 }
 
 // randomPeers returns up to n routers, without those that are avoided.
--- a/internal/peers/gossip_test.go
+++ b/internal/peers/gossip_test.go
@@ -37,7 +37,7 @@
 	}
 	c := NewClient(peerSetOf(t, members...), "key")
 	begun := time.Now()
-	c.Gossip(context.Background(), []quarantine.Evidence{{Part: "p", Crashes: []quarantine.Crash{{Server: "s1", Depth: 1}}}})
+	require.True(t, c.Gossip(context.Background(), []quarantine.Evidence{{Part: "p", Crashes: []quarantine.Crash{{Server: "s1", Depth: 1}}}}))
 	require.EqualValues(t, 3, good.calls.Load())
 	require.Less(t, time.Since(begun), 5*callTimeout)
 }
@@ -54,3 +54,15 @@
 	c.Gossip(context.Background(), []quarantine.Evidence{{Part: "p", Crashes: []quarantine.Crash{{Server: "s1", Depth: 1}}}})
 	require.EqualValues(t, gossipFanout, sink.calls.Load())
 }
+
+// TestGossipThatReachesNobodyIsReported guards against evidence that is taken for sent while
+// no other router is known, or none answers.
+func TestGossipThatReachesNobodyIsReported(t *testing.T) {
+	failing := Member{Node: "panics", Address: serveMethods(t, NewMethods(&fakeLender{}, nil, &evidenceCounter{panic: true}))}
+	for name, members := range map[string][]Member{"no other router": nil, "none answers": {{Node: "gone", Address: "127.0.0.1:1"}, failing}} {
+		t.Run(name, func(t *testing.T) {
+			c := NewClient(peerSetOf(t, members...), "key")
+			require.False(t, c.Gossip(context.Background(), []quarantine.Evidence{{Part: "p"}}))
+		})
+	}
+}
--- a/internal/quarantine/cluster_test.go
+++ b/internal/quarantine/cluster_test.go
@@ -110,7 +110,7 @@
 	self *Tracker
 }
 
-func (g gossiper) Gossip(_ context.Context, evidence []Evidence) {
+func (g gossiper) Gossip(_ context.Context, evidence []Evidence) bool {
 	time.Sleep(peerLatency)
 	g.mu.Lock()
 	var receivers []*Tracker
@@ -127,6 +127,7 @@
 		}
 		r.Merge(copies...)
 	}
+	return len(receivers) > 0
 }
 
 func (f *fleet) Append(_ context.Context, _ logservice.Stream, entries ...logservice.KeyedEntry) error {
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -23,6 +23,9 @@
 	// writeTimeout bounds one append, and writeRetryPause follows a failed one.
 	writeTimeout    = time.Second
 	writeRetryPause = 250 * time.Millisecond
+	// gossipRetryPause follows a message that reached no router. A router that has just
+	// started knows no others for about a second.
+	gossipRetryPause = 250 * time.Millisecond
 	// pollPeriod is how often delayed writes are looked for.
 	pollPeriod = 200 * time.Millisecond
 	// maxGossip limits the parts of one message to another router.
@@ -38,7 +41,8 @@
 
 // Gossiper sends evidence to other routers, which pass on what is new to them.
 type Gossiper interface {
-	Gossip(ctx context.Context, evidence []Evidence)
+	// Gossip reports whether any router received the evidence.
+	Gossip(ctx context.Context, evidence []Evidence) bool
 }
 
 // notify wakes the tasks that share evidence and probe servers.
@@ -92,16 +96,31 @@
 
 func randomRelayDelay() time.Duration { return relayDelay + rand.N(3*relayDelay) }
 
-// RunGossip sends new evidence to other routers until ctx ends.
+// RunGossip sends new evidence to other routers until ctx ends. What no router received is
+// sent again: evidence against a part that is not in quarantine is not in the log, and without
+// it a sound part of the same requests may be blamed alone.
 func (t *Tracker) RunGossip(ctx context.Context, peers Gossiper) {
 	for wait(ctx, t.wakeGossip, 0) {
 		pause(ctx, batchPause)
-		if evidence := t.takeGossip(); len(evidence) > 0 {
-			peers.Gossip(ctx, evidence)
+		evidence := t.takeGossip()
+		if len(evidence) > 0 && !peers.Gossip(ctx, evidence) {
+			t.events.Inc("gossip_failed")
+			pause(ctx, gossipRetryPause)
+			t.gossipAgain(evidence)
 		}
 	}
 }
 
+// gossipAgain schedules evidence that no router received.
+func (t *Tracker) gossipAgain(evidence []Evidence) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range evidence {
+		t.gossip[e.Part] = struct{}{}
+	}
+	t.notify()
+}
+
 // takeGossip returns the evidence to send next, that of parts in quarantine first.
 func (t *Tracker) takeGossip() []Evidence {
 	t.mu.Lock()
