side: tests print the log and the exit of a side process that failed

TestAnswerSurvivesPausedProcess once got "connection refused" beside load, and what had become of the side process was not known: its log was dropped. A refused connection needs a port without a listener, and the listener is opened before the registration that the test waits for.

Tried on a scratch copy, none of which gives that failure: a pause that is 4 s and 12 s longer, so that the run ends within it (passes); 24 runs on a third of a core and 9 in which the router's process is stopped for 0.9 s at times (pass); a port that another process takes before the side process binds it (fails earlier, "Condition never satisfied").

--- a/internal/side/child_process_test.go
+++ b/internal/side/child_process_test.go
@@ -121,12 +121,18 @@
 func (p *childProcess) spawn() *exec.Cmd {
 	child := exec.Command(os.Args[0])
 	child.Env = append(os.Environ(), childSettingsEnv+"="+p.file)
+	var logs bytes.Buffer // complete once Wait returns
+	child.Stderr = &logs
 	require.NoError(p.t, child.Start())
 	p.t.Cleanup(func() {
 		if child.ProcessState == nil {
 			child.Process.Kill()
 			child.Wait()
 		}
+		if p.t.Failed() {
+			// "signal: killed" means that the process still ran.
+			p.t.Logf("side process at %s: %v, its log:\n%s", p.address, child.ProcessState, logs.String())
+		}
 	})
 	return child
 }
