entry: a router on port 0 announces the port that it got

In all tests with several routers of package platform, no router could call another: each listened on port 0 and announced that. Evidence against prompt parts then travels by the log only, which has that of parts in quarantine alone. This is the main cause of "no sound request answered" in TestUnframedAnswersAreServedBesideADeadlyPart: the trace of a failed run shows "known 2 told false" for each message up to the end, the sound part in quarantine with three crashes at all routers, and the deadly part with one crash at each, a different one. A deployment with a fixed port is not concerned.

Before: TestRouterAnnouncesAnAddressThatOthersCanCall fails, without load.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -309,6 +309,9 @@
 	if err := r.listen(r.peerServer, r.options.PeerAddress); err != nil {
 		return err
 	}
+	if _, port, err := net.SplitHostPort(r.options.PeerAddress); err == nil && port == "0" {
+		r.peerSet.SetAddress(r.listenAddresses[r.peerServer].String()) // others cannot call port 0
+	}
 	if r.options.MetricsAddress != "" {
 		r.metricsServer = r.server(r.metrics.handler())
 		if err := r.listen(r.metricsServer, r.options.MetricsAddress); err != nil {
--- a/internal/peers/peerset.go
+++ b/internal/peers/peerset.go
@@ -157,6 +157,14 @@
 	return len(r.members) > 0 && float64(full) <= max(maxFullShare*float64(len(r.members)+1), 1)
 }
 
+// SetAddress replaces the address under which this router announces itself. It must be called
+// before the first announcement.
+func (r *PeerSet) SetAddress(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.self.Address = address
+}
+
 // SetFull announces whether this router sends callers to other routers. Calls
 // must not overlap, since the entry that is written last counts.
 func (r *PeerSet) SetFull(ctx context.Context, log Announcer, full bool) error {
