--- a/internal/prepaid/cluster_test.go
+++ b/internal/prepaid/cluster_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/camphorlever/camphorlever/internal/catalog"
+	"github.com/camphorlever/camphorlever/internal/logservice"
 )
 
 // cluster is a set of routers that share a log and call each other.
@@ -29,6 +30,7 @@
 	callTime      time.Duration
 	fleet         Fleet
 	shards        int
+	logGap        func(era logservice.Era) time.Duration // nil if unknown
 
 	mu          sync.Mutex  // guards all below
 	lostReplies int         // replies to loans still to be lost
@@ -243,6 +245,9 @@
 	for i := range n {
 		name := fmt.Sprintf("%d/%s/%d", i, t.Name(), time.Now().UnixNano())
 		f.routers[i] = NewLocalBalances(f.log, Streams{Budgets: stream, Layout: "layout", Shards: f.shards}, name, f.settings, clusterPeers{f, i}, zerolog.Nop())
+		if f.logGap != nil {
+			f.routers[i].ObserveLogGap(f.logGap)
+		}
 		ctx, cancel := context.WithCancel(t.Context())
 		f.stops[i] = cancel
 		go f.routers[i].Run(ctx)
--- a/internal/prepaid/restore_test.go
+++ b/internal/prepaid/restore_test.go
@@ -436,11 +436,9 @@
 	r := rand.New(rand.NewPCG(seed, 5))
 	f := newCluster(3_000_000)
 	f.log.era, f.shards = 1, 1+int(seed%2)
+	f.logGap = func(logservice.Era) time.Duration { return time.Second }
 	f.start(t, 5)
 	defer f.stopAll()
-	for _, router := range f.routers {
-		router.ObserveLogGap(func(logservice.Era) time.Duration { return time.Second })
-	}
 	time.Sleep(5 * time.Second)
 	total := f.sendLoad(t, r, 4*time.Second, 40, 200)
 	for range 2 {
