--- a/internal/prepaid/parts.go
+++ b/internal/prepaid/parts.go
@@ -68,6 +68,9 @@
 		}
 	}
 	merged.Count = max(a.Count, b.Count)
+	if merged.Rates == nil {
+		merged.Rates = b.Rates // copies of other routers have none
+	}
 	if b.Version > merged.Version {
 		merged.Paid, merged.Version = b.Paid, b.Version
 	}
--- a/internal/prepaid/restore.go
+++ b/internal/prepaid/restore.go
@@ -144,8 +144,9 @@
 
 // holdBack adds, to each account, the tokens that routers whose draws are not remembered
 // may have used since the copy from which the log was restored was made, as a part that
-// no incarnation owns. The lock is held.
-func (l *Ledger) holdBack(planned map[string]entry, lost *unremembered) {
+// no incarnation owns. It returns how many, by account. The lock is held.
+func (l *Ledger) holdBack(planned map[string]entry, lost *unremembered) map[string]int64 {
+	held := map[string]int64{}
 	w := writerOf("lost/" + strconv.FormatInt(int64(l.end.Era), 10))
 	for account, current := range l.entries {
 		if _, done := current.Parts[w]; done {
@@ -161,9 +162,9 @@
 		}
 		e.Count++
 		planned[account] = e.withPart(w, part{Net: tokens, Seq: e.Count})
-		l.events.Inc("held_back")
-		l.logger.Warn().Str("account", account).Int64("tokens", tokens).Msg("tokens held back, since draws of routers that ended may be lost")
+		held[account] = tokens
 	}
+	return held
 }
 
 // Settle writes what the log lacks, and the marker of its era. The copies of the other
@@ -179,9 +180,10 @@
 		}
 		_, repairs := l.plan(nil)
 		last := len(repairs) < maxRepairs
+		var held map[string]int64
 		if last && lost != nil {
 			l.mu.Lock()
-			l.holdBack(repairs, lost)
+			held = l.holdBack(repairs, lost)
 			l.mu.Unlock()
 		}
 		var m *marker
@@ -194,6 +196,10 @@
 		}
 		if applied {
 			l.events.Add("repaired", int64(len(repairs)))
+			for account, tokens := range held {
+				l.events.Inc("held_back")
+				l.logger.Warn().Str("account", account).Int64("tokens", tokens).Msg("tokens held back, since draws of routers that ended may be lost")
+			}
 			continue
 		}
 		l.events.Inc("conflicts")
@@ -228,12 +234,14 @@
 }
 
 // encodeCopy encodes entries, except those without parts, which say nothing about draws.
+// It leaves out what only the log needs, since a copy may have to pass a slow link.
 func encodeCopy(entries map[string]entry) (Copy, error) {
 	encoded := make(Copy, len(entries))
 	for account, e := range entries {
 		if len(e.Parts) == 0 {
 			continue
 		}
+		e.Incarnation, e.Write, e.Rates = "", 0, nil
 		raw, err := e.encode()
 		if err != nil {
 			return nil, err
