prepaid: an append keeps what other routers told meanwhile

Found by reading: announcements and copies arrive while an append is in progress, and its entries replaced the known ones. TestDrawsLearntDuringAnAppendAreKept failed before with 40 tokens drawn instead of 70; the log would have told the rest at the next read, or not at all after a restore.

--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -511,9 +511,13 @@
 // recordWrite records the entries of an append that took effect.
 func (l *Ledger) recordWrite(planned map[string]entry, marker *marker, end logservice.Position) (bool, error) {
 	l.mu.Lock()
-	maps.Copy(l.entries, planned)
-	for account := range planned {
+	for account, e := range planned {
 		delete(l.unwritten, account)
+		if known := l.entries[account]; !e.covers(known) { // learnt from another router meanwhile
+			e = merge(e, known)
+			l.unwritten[account] = struct{}{}
+		}
+		l.entries[account] = e
 	}
 	if marker != nil {
 		l.settled, l.markerAt = marker.Era, end.Offset-1
--- a/internal/prepaid/restore_test.go
+++ b/internal/prepaid/restore_test.go
@@ -239,6 +239,23 @@
 	require.ErrorIs(t, err, logservice.ErrRestored)
 }
 
+// TestDrawsLearntDuringAnAppendAreKept guards against an append that replaces what another
+// router told meanwhile.
+func TestDrawsLearntDuringAnAppendAreKept(t *testing.T) {
+	log := &copyDuringAppend{fakeLog: &fakeLog{era: 1}}
+	a := newTestLedger(log, "a/1")
+	settleLedger(t, a)
+	other := entry{Paid: 100, Version: 1}.withPart(writerOf("b/1"), part{Net: 30, Seq: 7})
+	copied, err := encodeCopy(map[string]entry{"maps": other})
+	require.NoError(t, err)
+	log.during = func() { require.NoError(t, a.MergeCopy(copied)) }
+	_, err = a.Apply(t.Context(), []Change{{Account: "maps", Paid: 100, SettingsVersion: 1, Draw: 40}})
+	require.NoError(t, err)
+	drawn, _ := a.Drawn("maps")
+	require.EqualValues(t, 70, drawn)
+	require.True(t, a.HasUnwritten())
+}
+
 // copyDuringAppend calls a function between an append and its reply.
 type copyDuringAppend struct {
 	*fakeLog
