prepaid: draws that other owners did not hear of, and routers paused before they use tokens

Announcements are repeated each round until one is answered, also to routers that failed lately, and for routers that did not answer or forgot the time before, what they may have used in 2 s is held back even if an owner remembers the rest. - A router paused between an acknowledgement and the use of the tokens spent what others had drawn again. The answer to an announcement names the era, and after a second the log is read first; tokens of an earlier era are given up. - A wrong era that one router named made all appends of the others count as lost for good. Only an era that is named while a call is in progress does so now. - Entries from before there were markers held tokens back at the first start. - A starting router that knew no others settled at once: it waits as for those that do not answer. - Copies hold only accounts that changed within two minutes.

Tests: TestWrongEraOfAnotherRouterStopsNoDraws, TestTokensAreNotUsedAfterARestoreThatAnotherOwnerHasSeen, TestEntriesFromBeforeMarkersHoldNothingBack, TestUnansweredAnnouncementsAreRepeated.

--- a/internal/peers/copies.go
+++ b/internal/peers/copies.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -15,7 +14,7 @@
 // LedgerKeeper has a copy of the ledger.
 type LedgerKeeper interface {
 	LedgerCopy(args prepaid.CopyArgs) (prepaid.CopyReply, error)
-	Witness(args prepaid.WitnessArgs) error
+	Witness(args prepaid.WitnessArgs) (prepaid.WitnessReply, error)
 }
 
 var errNoLedger = errors.New("router has no ledger")
@@ -36,12 +35,13 @@
 }
 
 // Witness records entries that the calling router has written.
-func (m *Methods) Witness(args *prepaid.WitnessArgs, _ *struct{}) error {
-	return contained(func() error {
+func (m *Methods) Witness(args *prepaid.WitnessArgs, reply *prepaid.WitnessReply) error {
+	return contained(func() (err error) {
 		if m.ledger == nil {
 			return errNoLedger
 		}
-		return m.ledger.Witness(*args)
+		*reply, err = m.ledger.Witness(*args)
+		return err
 	})
 }
 
@@ -71,24 +71,27 @@
 	calls.Wait()
 }
 
-// Witness implements prepaid.Peers. The calls that are still in progress when it returns
-// go on.
-func (c *Client) Witness(ctx context.Context, names []string, args prepaid.WitnessArgs) bool {
+// Witness implements prepaid.Peers. It also calls routers that did not answer recently. The
+// calls that are still in progress when it returns go on.
+func (c *Client) Witness(ctx context.Context, names []string, args prepaid.WitnessArgs) (prepaid.WitnessReply, bool) {
 	ctx = context.WithoutCancel(ctx) // each call has a timeout of its own
-	order := slices.DeleteFunc(c.callOrder(names, false), func(peer *peerConn) bool { return peer == nil })
-	answers := make(chan error, len(order))
+	order := c.named(names)
+	replies := make(chan *prepaid.WitnessReply, len(order)) // nil after a failed call
 	for _, peer := range order {
 		go func() {
-			var reply struct{}
-			answers <- c.call(ctx, peer, "Witness", &args, &reply)
+			reply := &prepaid.WitnessReply{}
+			if c.call(ctx, peer, "Witness", &args, reply) != nil {
+				reply = nil
+			}
+			replies <- reply
 		}()
 	}
 	for range order {
-		if <-answers == nil {
-			return true
+		if reply := <-replies; reply != nil {
+			return *reply, true
 		}
 	}
-	return false
+	return prepaid.WitnessReply{}, false
 }
 
 // named returns the routers with the given names, as far as they are known.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -285,9 +285,12 @@
 	got := map[string]prepaid.CopyReply{}
 	c.Copies(context.Background(), names, prepaid.CopyArgs{Shard: 3, Era: 2}, func(name string, reply prepaid.CopyReply) { got[name] = reply })
 	require.Equal(t, map[string]prepaid.CopyReply{"a": {Entries: prepaid.Copy{"of": {3, 2}}, Remembers: true}}, got)
-	require.True(t, c.Witness(context.Background(), names, prepaid.WitnessArgs{Shard: 1, Entries: prepaid.Copy{"of": {9}}}))
+	reply, answered := c.Witness(context.Background(), names, prepaid.WitnessArgs{Shard: 1, Entries: prepaid.Copy{"of": {9}}})
+	require.True(t, answered)
+	require.EqualValues(t, 4, reply.Era)
 	require.Equal(t, prepaid.Copy{"of": {9}}, keeper.witnessed.Load().Entries)
-	require.False(t, c.Witness(context.Background(), []string{"gone"}, prepaid.WitnessArgs{}))
+	_, answered = c.Witness(context.Background(), []string{"gone"}, prepaid.WitnessArgs{})
+	require.False(t, answered)
 }
 
 // fakeKeeper has a copy that names what was asked for.
@@ -299,7 +302,7 @@
 	return prepaid.CopyReply{Entries: prepaid.Copy{"of": {byte(args.Shard), byte(args.Era)}}, Remembers: true}, nil
 }
 
-func (k *fakeKeeper) Witness(args prepaid.WitnessArgs) error {
+func (k *fakeKeeper) Witness(args prepaid.WitnessArgs) (prepaid.WitnessReply, error) {
 	k.witnessed.Store(&args)
-	return nil
+	return prepaid.WitnessReply{Era: 4}, nil
 }
--- a/internal/prepaid/cluster_test.go
+++ b/internal/prepaid/cluster_test.go
@@ -213,12 +213,16 @@
 	}
 }
 
-func (n clusterPeers) Witness(_ context.Context, names []string, args WitnessArgs) bool {
-	witnessed := false
+func (n clusterPeers) Witness(_ context.Context, names []string, args WitnessArgs) (reply WitnessReply, answered bool) {
 	for _, i := range n.callOrder(names, false) {
-		witnessed = (!n.cluster.cutOff(i) && n.cluster.routers[i].Witness(args) == nil) || witnessed
+		if n.cluster.cutOff(i) || n.cluster.isDown(n.self) {
+			continue
+		}
+		if r, err := n.cluster.routers[i].Witness(args); err == nil {
+			reply, answered = r, true
+		}
 	}
-	return witnessed
+	return reply, answered
 }
 
 func (f *cluster) settings() *catalog.Settings {
--- a/internal/prepaid/collect.go
+++ b/internal/prepaid/collect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -47,6 +48,11 @@
 	Entries Copy
 }
 
+// WitnessReply has the era of the log that the router has seen.
+type WitnessReply struct {
+	Era logservice.Era
+}
+
 // collection is the state of asking the other routers for their copies.
 type collection struct {
 	era       logservice.Era
@@ -96,7 +102,9 @@
 		return !s.ledger.Unsettled()
 	}
 	missing := bs.collectCopies(ctx, s, index)
-	if len(missing) > 0 && s.ledger.UnsettledFor() < collectTimeout {
+	// The list of routers may be incomplete while nobody is known who remembers anything.
+	forgotten := s.ledger.lostHistory() && len(s.collection.remember) == 0
+	if (len(missing) > 0 || forgotten) && s.ledger.UnsettledFor() < collectTimeout {
 		return false
 	}
 	if len(missing) > 0 {
@@ -105,9 +113,12 @@
 			Msg("routers did not send their copy of the ledger; they write what they have drawn themselves")
 	}
 	var lost *unremembered
-	if !s.collection.isComplete() {
+	if s.ledger.lostHistory() {
 		owners, _ := s.ownersIn(bs.fleet())
-		lost = &unremembered{isRemembered: func(node string) bool { return s.collection.remember[node] }, owners: owners}
+		lost = &unremembered{isRemembered: func(node string) bool { return s.collection.remember[node] }, owners: owners, span: maxCopyAge}
+		if s.collection.isComplete() {
+			lost.span = maxAnnounceDelay
+		}
 	}
 	if err := s.ledger.Settle(ctx, s.collection.era, lost); err != nil {
 		bs.events.Inc("settle_failed")
@@ -117,6 +128,10 @@
 	return true
 }
 
+// maxAnnounceDelay is how long a draw may be unknown to the other owners after its tokens
+// were used: announcements that got no answer are repeated each round.
+const maxAnnounceDelay = 2 * time.Second
+
 // maxNamesLogged bounds how many routers a log line names.
 const maxNamesLogged = 8
 
@@ -171,31 +186,58 @@
 	return reply, err
 }
 
-// Witness records entries that another router has written.
-func (bs *LocalBalances) Witness(args WitnessArgs) error {
+// Witness records entries that another router has written, and returns the era of the log
+// that this router has seen.
+func (bs *LocalBalances) Witness(args WitnessArgs) (WitnessReply, error) {
 	s := bs.shardAt(args.Shard)
 	if s == nil {
-		return nil
+		return WitnessReply{}, nil
 	}
-	return s.ledger.Observe(args.Entries)
+	return WitnessReply{Era: s.ledger.seenEra()}, s.ledger.Observe(args.Entries)
 }
 
 // announceDraws tells the other owners of the accounts of which this router has drawn
 // tokens, so that the draws can be written again if the log loses them and this router
-// ends.
-func (bs *LocalBalances) announceDraws(ctx context.Context, s *shard, index int, accounts []string) {
-	if bs.peers == nil || len(accounts) == 0 {
-		return
+// ends. It returns false if another owner has seen a later era of the log: the draws may
+// be lost already.
+func (bs *LocalBalances) announceDraws(ctx context.Context, s *shard, index int, accounts []string) bool {
+	for _, account := range accounts {
+		s.unannounced[account] = struct{}{}
 	}
-	entries, err := s.ledger.CopyOf(accounts)
+	if bs.peers == nil || len(s.unannounced) == 0 {
+		return true
+	}
+	entries, err := s.ledger.CopyOf(slices.Collect(maps.Keys(s.unannounced)))
 	if err != nil {
 		bs.log.Warn().Err(err).Msg("written budget entries cannot be sent to another router")
-		return
+		return true
 	}
 	owners, _ := s.ownersIn(bs.fleet())
-	if !bs.peers.Witness(ctx, owners, WitnessArgs{Shard: index, Entries: entries}) {
+	reply, answered := bs.peers.Witness(ctx, owners, WitnessArgs{Shard: index, Entries: entries})
+	if !answered {
 		bs.events.Inc("unwitnessed")
+		return true
+	}
+	clear(s.unannounced)
+	return reply.Era <= s.ledger.Era()
+}
+
+// maxGrantDelay is how long after an append its tokens may be used without another look
+// at the log. A process that is paused in between may have missed a restore.
+const maxGrantDelay = time.Second
+
+// mayUse reports whether the tokens of an append that began at a time may be used: not if
+// the log was restored since.
+func (bs *LocalBalances) mayUse(ctx context.Context, s *shard, begun time.Time, announced bool) bool {
+	if !announced {
+		return false
+	}
+	now := time.Now()
+	if max(now.Sub(begun), now.Round(0).Sub(begun.Round(0))) <= maxGrantDelay {
+		return true
 	}
+	era := s.ledger.Era()
+	return s.ledger.Update(ctx) == nil && s.ledger.Era() == era
 }
 
 // ObserveLogGap sets a function that returns for how long the log could not be read until
--- a/internal/prepaid/controller.go
+++ b/internal/prepaid/controller.go
@@ -100,6 +100,7 @@
 	}
 	all = bs.giveBack(ctx, all)
 	if !slices.ContainsFunc(all, func(d plannedChange) bool { return d.urgent }) && !s.ledger.HasUnwritten() {
+		bs.announceDraws(ctx, s, index, nil) // those that got no answer before
 		return
 	}
 	all = slices.DeleteFunc(all, func(d plannedChange) bool {
@@ -109,13 +110,18 @@
 	for _, d := range all {
 		changes = append(changes, d.change)
 	}
+	begun := time.Now()
 	results, err := s.ledger.Apply(ctx, changes)
 	now := time.Now()
 	if err != nil {
 		bs.handleApplyError(err, all)
 		return
 	}
-	bs.announceDraws(ctx, s, index, drawnAccounts(changes, results))
+	announced := bs.announceDraws(ctx, s, index, drawnAccounts(changes, results))
+	if !bs.mayUse(ctx, s, begun, announced) {
+		s.ledger.forfeit(changes, results)
+		return
+	}
 	for i, d := range all {
 		bs.applyResult(d, results[i], now)
 	}
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -106,14 +106,17 @@
 
 	mu        sync.Mutex // guards all below up to fence
 	entries   map[string]entry
-	own       map[string]ownPart  // what this incarnation has drawn, by account
-	unwritten map[string]struct{} // accounts of which the log lacks a part
-	readAt    time.Time           // when the entries were known to be current
-	settled   logservice.Era      // era of which the log holds the marker
-	markerAt  ident.Offset        // of the marker
-	firstEra  logservice.Era      // era in which entries were first read
-	unsettled logservice.Era      // era without a marker that was last seen
-	fence     logservice.Era      // appends that were acknowledged in an earlier era count as lost
+	own       map[string]ownPart   // what this incarnation has drawn, by account
+	unwritten map[string]struct{}  // accounts of which the log lacks a part
+	readAt    time.Time            // when the entries were known to be current
+	settled   logservice.Era       // era of which the log holds the marker
+	markerAt  ident.Offset         // of the marker
+	hadMarker bool                 // a marker was read
+	changedAt map[string]time.Time // when an account was last seen to change
+	firstEra  logservice.Era       // era in which entries were first read
+	lastEra   logservice.Era       // era in which they were last read or written
+	unsettled logservice.Era       // era without a marker that was last seen
+	fence     logservice.Era       // appends that were acknowledged in an earlier era count as lost
 
 	end       logservice.Position // up to which the entries are known; only used by the caller of Apply
 	loaded    bool                // only used by the caller of Apply
@@ -146,6 +149,7 @@
 		entries:     map[string]entry{},
 		own:         map[string]ownPart{},
 		unwritten:   map[string]struct{}{},
+		changedAt:   map[string]time.Time{},
 	}
 }
 
@@ -183,7 +187,7 @@
 func (l *Ledger) apply(raw logservice.KeyedEntry) error {
 	if raw.Key == markerKey {
 		era, err := decodeMarker(raw)
-		l.settled, l.markerAt = era, raw.Offset
+		l.settled, l.markerAt, l.hadMarker = era, raw.Offset, true
 		return err
 	}
 	read, err := decode(raw)
@@ -199,6 +203,9 @@
 	}
 	delete(l.unwritten, raw.Key)
 	known := l.entries[raw.Key]
+	if read.Count != known.Count {
+		l.changedAt[raw.Key] = time.Now()
+	}
 	if read.covers(known) {
 		l.entries[raw.Key] = read
 		return nil
@@ -395,6 +402,7 @@
 	}
 	at := l.end
 	for {
+		fence := l.currentFence()
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		err := l.log.AppendAt(call, l.stream, at, batch...)
 		cancel()
@@ -402,7 +410,7 @@
 		restored := errors.Is(err, logservice.ErrRestored)
 		l.recordAvailability(err == nil || restored || errors.Is(err, logservice.ErrMoved))
 		if err == nil {
-			return l.recordWrite(planned, marker, at.After(len(batch)))
+			return l.recordWrite(planned, marker, at.After(len(batch)), fence)
 		}
 		if restored {
 			l.loaded = false
@@ -420,7 +428,7 @@
 		case errors.Is(err, logservice.ErrTrimmed):
 			return l.resolveTrimmed(ctx, planned)
 		case err == nil && known && ours:
-			return l.confirm(planned, at.Era)
+			return l.confirm(planned, at.Era, fence)
 		case err == nil && known:
 			return false, nil
 		}
@@ -509,10 +517,11 @@
 }
 
 // recordWrite records the entries of an append that took effect.
-func (l *Ledger) recordWrite(planned map[string]entry, marker *marker, end logservice.Position) (bool, error) {
+func (l *Ledger) recordWrite(planned map[string]entry, marker *marker, end logservice.Position, fence logservice.Era) (bool, error) {
 	l.mu.Lock()
 	for account, e := range planned {
 		delete(l.unwritten, account)
+		l.changedAt[account] = time.Now()
 		if known := l.entries[account]; !e.covers(known) { // learnt from another router meanwhile
 			e = merge(e, known)
 			l.unwritten[account] = struct{}{}
@@ -520,20 +529,28 @@
 		l.entries[account] = e
 	}
 	if marker != nil {
-		l.settled, l.markerAt = marker.Era, end.Offset-1
+		l.settled, l.markerAt, l.hadMarker = marker.Era, end.Offset-1, true
 	}
 	l.end, l.readAt = end, time.Now()
 	l.recordEra()
 	l.mu.Unlock()
-	return l.confirm(planned, end.Era)
+	return l.confirm(planned, end.Era, fence)
+}
+
+// currentFence returns the highest era that another router has named.
+func (l *Ledger) currentFence() logservice.Era {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fence
 }
 
 // confirm records the parts of this incarnation in an append that took effect in an era.
-// It fails with ErrRestored if the log is known to have been restored since: the append
-// may be lost.
-func (l *Ledger) confirm(planned map[string]entry, era logservice.Era) (bool, error) {
+// It fails with ErrRestored if another router has named a later era since the call began,
+// when the fence was the given one: the append may be lost. A fence from before the call
+// was wrong, since the log has answered in an earlier era afterwards.
+func (l *Ledger) confirm(planned map[string]entry, era, fence logservice.Era) (bool, error) {
 	l.mu.Lock()
-	lost := era != 0 && era < l.fence
+	lost := era != 0 && era < l.fence && fence < l.fence
 	if !lost {
 		for account, e := range planned {
 			if own, found := l.own[account]; found {
@@ -611,7 +628,7 @@
 	case !decided:
 		return false, ErrUnresolved
 	case applied:
-		return l.confirm(planned, era)
+		return l.confirm(planned, era, l.currentFence())
 	default:
 		return false, nil
 	}
--- a/internal/prepaid/lend.go
+++ b/internal/prepaid/lend.go
@@ -92,7 +92,7 @@
 	Copies(ctx context.Context, names []string, args CopyArgs, receive func(name string, reply CopyReply))
 	// Witness tells the named routers of entries that were written, and waits until one
 	// of them has answered. It returns false if none does.
-	Witness(ctx context.Context, names []string, args WitnessArgs) bool
+	Witness(ctx context.Context, names []string, args WitnessArgs) (WitnessReply, bool)
 }
 
 // Lend lends tokens of the local balance to another router. An owner draws more if
--- a/internal/prepaid/restore.go
+++ b/internal/prepaid/restore.go
@@ -53,6 +53,7 @@
 	if l.firstEra == 0 {
 		l.firstEra = l.end.Era
 	}
+	l.lastEra = l.end.Era
 	if l.end.Era == 0 || l.settled == l.end.Era {
 		if since := l.unsettledSince.Swap(nil); since != nil {
 			l.logger.Info().Int64("era", int64(l.end.Era)).Dur("after", time.Since(*since)).Msg("draws lost by the log are written again")
@@ -88,6 +89,13 @@
 // may call it.
 func (l *Ledger) Era() logservice.Era { return l.end.Era }
 
+// seenEra returns the highest era of the log that this router or another one has seen.
+func (l *Ledger) seenEra() logservice.Era {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(l.lastEra, l.fence)
+}
+
 // isKnown reports whether any entries are known.
 func (l *Ledger) isKnown() bool {
 	l.mu.Lock()
@@ -116,7 +124,8 @@
 // unremembered says which routers may have made draws that nobody remembers.
 type unremembered struct {
 	isRemembered func(node string) bool
-	owners       []string // of the shard
+	owners       []string      // of the shard
+	span         time.Duration // for how long they may have drawn
 }
 
 // rate estimates how many tokens of an account per second the routers used that are not
@@ -156,7 +165,7 @@
 		if !found {
 			e = current
 		}
-		tokens := min(int64(lost.rate(e.Rates)*maxCopyAge.Seconds()), e.Paid-e.Drawn)
+		tokens := min(int64(lost.rate(e.Rates)*lost.span.Seconds()), e.Paid-e.Drawn)
 		if tokens <= 0 {
 			continue
 		}
@@ -210,16 +219,54 @@
 	return nil
 }
 
+// forfeit states that tokens which were granted to this router are not used, since the log
+// has been restored before they were.
+func (l *Ledger) forfeit(changes []Change, results []Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, r := range results {
+		account := changes[i].Account
+		own, found := l.own[account]
+		if r.Granted == 0 || !found {
+			continue
+		}
+		own.Net -= r.Granted
+		own.Seq++
+		l.own[account] = own
+		l.entries[account] = l.entries[account].withPart(own.writer, own.part)
+		l.unwritten[account] = struct{}{}
+	}
+	l.events.Inc("forfeited")
+}
+
+// lostHistory reports whether the log has had a marker before. Entries without one were
+// written before there were markers, not lost.
+func (l *Ledger) lostHistory() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.hadMarker
+}
+
 // Copy is the budget entries that a router knows, by account.
 type Copy map[string][]byte
 
-// Copy returns the known entries. Appends that are acknowledged in an earlier era than the
+// copyWindow is for how long a change is part of the copies for other routers, far longer
+// than the age of a copy from which the log is restored.
+const copyWindow = 2 * time.Minute
+
+// Copy returns the known entries that have changed within copyWindow. Appends that are acknowledged in an earlier era than the
 // given one count as lost from now on, so that the copy holds all draws of that time.
 func (l *Ledger) Copy(era logservice.Era) (Copy, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fence = max(l.fence, era)
-	return encodeCopy(l.entries)
+	recent := map[string]entry{}
+	for account, changedAt := range l.changedAt {
+		if time.Since(changedAt) < copyWindow {
+			recent[account] = l.entries[account]
+		}
+	}
+	return encodeCopy(recent)
 }
 
 // CopyOf returns the known entries of some accounts.
@@ -271,6 +318,7 @@
 		l.mu.Lock()
 		if known := l.entries[account]; !known.covers(e) {
 			l.entries[account] = merge(known, e)
+			l.changedAt[account] = time.Now()
 			onChange(account)
 		}
 		l.mu.Unlock()
--- a/internal/prepaid/restore_test.go
+++ b/internal/prepaid/restore_test.go
@@ -256,6 +256,74 @@
 	require.True(t, a.HasUnwritten())
 }
 
+// TestWrongEraOfAnotherRouterStopsNoDraws guards against a router that counts all its
+// appends as lost because another one has named an era that the log never had.
+func TestWrongEraOfAnotherRouterStopsNoDraws(t *testing.T) {
+	a := newTestLedger(&fakeLog{era: 1}, "a/1")
+	settleLedger(t, a)
+	_, err := a.Copy(7)
+	require.NoError(t, err)
+	results, err := a.Apply(t.Context(), []Change{{Account: "maps", Paid: 100, SettingsVersion: 1, Draw: 40}})
+	require.NoError(t, err)
+	require.EqualValues(t, 40, results[0].Granted)
+}
+
+// TestTokensAreNotUsedAfterARestoreThatAnotherOwnerHasSeen guards against a router that was
+// paused between an append and the use of its tokens.
+func TestTokensAreNotUsedAfterARestoreThatAnotherOwnerHasSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCluster(3_000_000)
+		f.log.era = 1
+		f.start(t, 2)
+		defer f.stopAll()
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		before := f.routers[0].shardAt(0).ledger.ownPartOf("maps").Net
+		_, err := f.routers[1].LedgerCopy(CopyArgs{Era: 2}) // another router has seen era 2
+		require.NoError(t, err)
+		f.sendTo(t, 0, 2*time.Second)
+		synctest.Wait()
+		require.LessOrEqual(t, f.routers[0].shardAt(0).ledger.ownPartOf("maps").Net, before)
+	})
+}
+
+// TestEntriesFromBeforeMarkersHoldNothingBack guards against tokens that are lost when this
+// version of the ledger starts on the entries of an earlier one.
+func TestEntriesFromBeforeMarkersHoldNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCluster(3_000_000)
+		f.log.era = 1
+		raw, err := entry{Drawn: 500, Paid: f.prepaid, Version: 1, Count: 3, Rates: map[string]rate{"9": {Tokens: 1000, Count: 3}}}.encode()
+		require.NoError(t, err)
+		f.log.stream(stream).entries = []logservice.KeyedEntry{{Key: "maps", Value: raw}}
+		f.start(t, 1)
+		defer f.stopAll()
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		router := f.routers[0].shardAt(0).ledger
+		drawn, _ := router.Drawn("maps")
+		require.Equal(t, 500+router.ownPartOf("maps").Net, drawn)
+	})
+}
+
+func TestUnansweredAnnouncementsAreRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCluster(3_000_000)
+		f.log.era = 1
+		f.start(t, 2)
+		defer f.stopAll()
+		time.Sleep(5 * time.Second)
+		f.setPartitioned(true)
+		f.sendTo(t, 0, 300*time.Millisecond)
+		f.stops[1]() // reads the log no more, but answers
+		f.setPartitioned(false)
+		time.Sleep(2 * minRebalanceInterval)
+		synctest.Wait()
+		own := f.routers[0].shardAt(0).ledger.ownPartOf("maps")
+		require.GreaterOrEqual(t, f.routers[1].shardAt(0).ledger.partOf("maps", own.writer).Net, own.Net)
+	})
+}
+
 // copyDuringAppend calls a function between an append and its reply.
 type copyDuringAppend struct {
 	*fakeLog
@@ -358,7 +426,7 @@
 func TestTokensOfRoutersThatNobodyRemembersAreHeldBack(t *testing.T) {
 	ctx := t.Context()
 	log := &fakeLog{era: 1}
-	nobody := &unremembered{isRemembered: func(string) bool { return false }}
+	nobody := &unremembered{isRemembered: func(string) bool { return false }, span: maxCopyAge}
 	killed := newTestLedger(log, "a/1")
 	settleLedger(t, killed)
 	draw := func(l *Ledger, tokens int64) Result {
--- a/internal/prepaid/shard.go
+++ b/internal/prepaid/shard.go
@@ -21,9 +21,10 @@
 type shard struct {
 	name         string // seed of the rendezvous order of the owners
 	ledger       *Ledger
-	wakeup       chan struct{} // starts a rebalancing round
-	needsRefresh atomic.Bool   // a request needs a fresh read of the ledger
-	collection   collection    // only used by the shard's loop
+	wakeup       chan struct{}       // starts a rebalancing round
+	needsRefresh atomic.Bool         // a request needs a fresh read of the ledger
+	collection   collection          // only used by the shard's loop
+	unannounced  map[string]struct{} // accounts of draws that no other owner was told of; only used by the shard's loop
 
 	mu            sync.Mutex // guards all below
 	owners        []string   // owner routers, which draw for the accounts, in the order in which this router asks them
@@ -41,6 +42,8 @@
 			name:   strconv.Itoa(i),
 			ledger: NewLedger(log, stream, incarnation, logger.With().Str("stream", string(stream)).Logger()),
 			wakeup: make(chan struct{}, 1),
+
+			unannounced: map[string]struct{}{},
 		}
 	}
 	return shards
--- a/internal/prepaid/transfers_test.go
+++ b/internal/prepaid/transfers_test.go
@@ -78,7 +78,9 @@
 func (p lossyPeers) Copies(context.Context, []string, CopyArgs, func(string, CopyReply)) {}
 
 // Witness implements Peers.
-func (p lossyPeers) Witness(context.Context, []string, WitnessArgs) bool { return false }
+func (p lossyPeers) Witness(context.Context, []string, WitnessArgs) (WitnessReply, bool) {
+	return WitnessReply{}, false
+}
 
 func (p lossyPeers) Transfer(_ context.Context, _ []string, _ bool, args func(string) TransferArgs) (bool, error) {
 	i := (p.self + 1 + p.schedule.r.IntN(len(p.schedule.routers)-1)) % len(p.schedule.routers)
