prepaid: one file for each step of a restore, and one word for its repair

ledger.go and collect.go had grown to several jobs: appends, announcements, copies and the estimate are files of their own, and what was called settling, as the wait for the list of routers already was, is a repair.

--- a/internal/prepaid/collect.go
+++ b/internal/prepaid/collect.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -42,17 +41,6 @@
 	Gap time.Duration
 }
 
-// WitnessArgs tells a router of entries that were written.
-type WitnessArgs struct {
-	Shard   int
-	Entries Copy
-}
-
-// WitnessReply has the era of the log that the router has seen.
-type WitnessReply struct {
-	Era logservice.Era
-}
-
 // collection is the state of asking the other routers for their copies.
 type collection struct {
 	era       logservice.Era
@@ -89,22 +77,22 @@
 	}
 }
 
-// settle collects the draws that the log has lost and writes them again. It reports
+// repair collects the draws that the log has lost and writes them again. It reports
 // whether tokens of the shard may be drawn.
-func (bs *LocalBalances) settle(ctx context.Context, s *shard, index int) bool {
-	if !s.ledger.Unsettled() {
+func (bs *LocalBalances) repair(ctx context.Context, s *shard, index int) bool {
+	if !s.ledger.NeedsRepair() {
 		return true
 	}
-	if _, isOwner := s.ownersIn(bs.fleet()); !isOwner && s.ledger.UnsettledFor() < nonOwnerCollectDelay {
+	if _, isOwner := s.ownersIn(bs.fleet()); !isOwner && s.ledger.NeedsRepairFor() < nonOwnerCollectDelay {
 		if err := s.ledger.Update(ctx); err != nil {
 			bs.events.Inc("look_failed")
 		}
-		return !s.ledger.Unsettled()
+		return !s.ledger.NeedsRepair()
 	}
 	missing := bs.collectCopies(ctx, s, index)
 	// The list of routers may be incomplete while nobody is known who remembers anything.
 	forgotten := s.ledger.lostHistory() && len(s.collection.remember) == 0
-	if (len(missing) > 0 || forgotten) && s.ledger.UnsettledFor() < collectTimeout {
+	if (len(missing) > 0 || forgotten) && s.ledger.NeedsRepairFor() < collectTimeout {
 		return false
 	}
 	if len(missing) > 0 {
@@ -120,18 +108,14 @@
 			lost.span = maxAnnounceDelay
 		}
 	}
-	if err := s.ledger.Settle(ctx, s.collection.era, lost); err != nil {
-		bs.events.Inc("settle_failed")
+	if err := s.ledger.Repair(ctx, s.collection.era, lost); err != nil {
+		bs.events.Inc("repair_failed")
 		bs.log.Warn().Err(err).Msg("draws lost by the log could not be written again")
 		return false
 	}
 	return true
 }
 
-// maxAnnounceDelay is how long a draw may be unknown to the other owners after its tokens
-// were used: announcements that got no answer are repeated each round.
-const maxAnnounceDelay = 2 * time.Second
-
 // maxNamesLogged bounds how many routers a log line names.
 const maxNamesLogged = 8
 
@@ -186,60 +170,6 @@
 	return reply, err
 }
 
-// Witness records entries that another router has written, and returns the era of the log
-// that this router has seen.
-func (bs *LocalBalances) Witness(args WitnessArgs) (WitnessReply, error) {
-	s := bs.shardAt(args.Shard)
-	if s == nil {
-		return WitnessReply{}, nil
-	}
-	return WitnessReply{Era: s.ledger.seenEra()}, s.ledger.Observe(args.Entries)
-}
-
-// announceDraws tells the other owners of the accounts of which this router has drawn
-// tokens, so that the draws can be written again if the log loses them and this router
-// ends. It returns false if another owner has seen a later era of the log: the draws may
-// be lost already.
-func (bs *LocalBalances) announceDraws(ctx context.Context, s *shard, index int, accounts []string) bool {
-	for _, account := range accounts {
-		s.unannounced[account] = struct{}{}
-	}
-	if bs.peers == nil || len(s.unannounced) == 0 {
-		return true
-	}
-	entries, err := s.ledger.CopyOf(slices.Collect(maps.Keys(s.unannounced)))
-	if err != nil {
-		bs.log.Warn().Err(err).Msg("written budget entries cannot be sent to another router")
-		return true
-	}
-	owners, _ := s.ownersIn(bs.fleet())
-	reply, answered := bs.peers.Witness(ctx, owners, WitnessArgs{Shard: index, Entries: entries})
-	if !answered {
-		bs.events.Inc("unwitnessed")
-		return true
-	}
-	clear(s.unannounced)
-	return reply.Era <= s.ledger.Era()
-}
-
-// maxGrantDelay is how long after an append its tokens may be used without another look
-// at the log. A process that is paused in between may have missed a restore.
-const maxGrantDelay = time.Second
-
-// mayUse reports whether the tokens of an append that began at a time may be used: not if
-// the log was restored since.
-func (bs *LocalBalances) mayUse(ctx context.Context, s *shard, begun time.Time, announced bool) bool {
-	if !announced {
-		return false
-	}
-	now := time.Now()
-	if max(now.Sub(begun), now.Round(0).Sub(begun.Round(0))) <= maxGrantDelay {
-		return true
-	}
-	era := s.ledger.Era()
-	return s.ledger.Update(ctx) == nil && s.ledger.Era() == era
-}
-
 // ObserveLogGap sets a function that returns for how long the log could not be read until
 // an era was first seen. It must be called before Run.
 func (bs *LocalBalances) ObserveLogGap(gap func(era logservice.Era) time.Duration) { bs.logGap = gap }
--- a/internal/prepaid/controller.go
+++ b/internal/prepaid/controller.go
@@ -60,7 +60,7 @@
 
 // rebalanceInterval returns the time until the next round of a shard.
 func (bs *LocalBalances) rebalanceInterval(s *shard) time.Duration {
-	if s.ledger.Unsettled() {
+	if s.ledger.NeedsRepair() {
 		return collectInterval
 	}
 	if _, isOwner := s.ownersIn(bs.fleet()); isOwner {
@@ -90,7 +90,7 @@
 			bs.log.Warn().Err(err).Msg("budget entries could not be read before refusing a request")
 		}
 	}
-	if !bs.settle(ctx, s, index) {
+	if !bs.repair(ctx, s, index) {
 		return
 	}
 	ahead := bs.mayDrawAhead(bs.fleet(), time.Now())
@@ -120,6 +120,7 @@
 	announced := bs.announceDraws(ctx, s, index, drawnAccounts(changes, results))
 	if !bs.mayUse(ctx, s, begun, announced) {
 		s.ledger.forfeit(changes, results)
+		s.needsRefresh.Store(true)
 		return
 	}
 	for i, d := range all {
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -55,9 +54,9 @@
 // effect. The tokens that it would have drawn are not granted to any router.
 var ErrUnresolved = errors.New("outcome of the append is unknown: its entries were trimmed and replaced")
 
-// errUnsettled means that nothing is drawn yet, since the log was restored from an older
+// errNeedsRepair means that nothing is drawn yet, since the log was restored from an older
 // copy and the draws that it lost are not all written again.
-var errUnsettled = errors.New("draws that the log has lost are being collected")
+var errNeedsRepair = errors.New("draws that the log has lost are being collected")
 
 // NotWrittenError means that a change was not written and will not be, because
 // reading the log before it failed, or ctx ended after a conflict.
@@ -89,7 +88,7 @@
 )
 
 // Ledger is a router's copy of the budget entries of all accounts. Load, Update,
-// Apply and Settle must not run concurrently; the other methods are safe for concurrent
+// Apply and Repair must not run concurrently; the other methods are safe for concurrent
 // use.
 //
 // The log may come back from an older copy of itself and lose draws that it has
@@ -104,19 +103,19 @@
 	logger      zerolog.Logger
 	events      *counter.Set
 
-	mu        sync.Mutex // guards all below up to fence
-	entries   map[string]entry
-	own       map[string]ownPart   // what this incarnation has drawn, by account
-	unwritten map[string]struct{}  // accounts of which the log lacks a part
-	readAt    time.Time            // when the entries were known to be current
-	settled   logservice.Era       // era of which the log holds the marker
-	markerAt  ident.Offset         // of the marker
-	hadMarker bool                 // a marker was read
-	changedAt map[string]time.Time // when an account was last seen to change
-	firstEra  logservice.Era       // era in which entries were first read
-	lastEra   logservice.Era       // era in which they were last read or written
-	unsettled logservice.Era       // era without a marker that was last seen
-	fence     logservice.Era       // appends that were acknowledged in an earlier era count as lost
+	mu         sync.Mutex // guards all below up to fence
+	entries    map[string]entry
+	own        map[string]ownPart   // what this incarnation has drawn, by account
+	unwritten  map[string]struct{}  // accounts of which the log lacks a part
+	readAt     time.Time            // when the entries were known to be current
+	markedEra  logservice.Era       // era of which the log holds the marker
+	markerAt   ident.Offset         // of the marker
+	hadMarker  bool                 // a marker was read
+	changedAt  map[string]time.Time // when an account was last seen to change
+	firstEra   logservice.Era       // era in which entries were first read
+	lastEra    logservice.Era       // era in which they were last read or written
+	unrepaired logservice.Era       // era without a marker that was last seen
+	fence      logservice.Era       // appends that were acknowledged in an earlier era count as lost
 
 	end       logservice.Position // up to which the entries are known; only used by the caller of Apply
 	loaded    bool                // only used by the caller of Apply
@@ -124,7 +123,7 @@
 	contended bool                // the last read returned new entries of other writers; only used by the caller of Apply
 
 	unavailableSince atomic.Pointer[time.Time] // time of the first unanswered call; nil if the log answers
-	unsettledSince   atomic.Pointer[time.Time] // when a new era of the log was first seen; nil once it has a marker
+	repairSince      atomic.Pointer[time.Time] // when a new era of the log was first seen; nil once it has a marker
 }
 
 // ownPart is a part of this incarnation. Its writer changes if the part was folded.
@@ -187,19 +186,19 @@
 func (l *Ledger) apply(raw logservice.KeyedEntry) error {
 	if raw.Key == markerKey {
 		era, err := decodeMarker(raw)
-		l.settled, l.markerAt, l.hadMarker = era, raw.Offset, true
+		l.markedEra, l.markerAt, l.hadMarker = era, raw.Offset, true
 		return err
 	}
 	read, err := decode(raw)
 	if err != nil {
 		return err
 	}
-	if read.Era < l.settled && raw.Offset > l.markerAt {
+	if read.Era < l.markedEra && raw.Offset > l.markerAt {
 		// An append of an earlier era took effect late. Its entry may lack draws.
 		l.events.Inc("late_append")
 		l.logger.Warn().Str("account", raw.Key).Int64("offset", int64(raw.Offset)).Int64("era", int64(read.Era)).
 			Msg("budget entry of an earlier era was written late")
-		l.settled = 0
+		l.markedEra = 0
 	}
 	delete(l.unwritten, raw.Key)
 	known := l.entries[raw.Key]
@@ -259,8 +258,8 @@
 		}
 		fresh = true
 	}
-	if l.Unsettled() {
-		return nil, &NotWrittenError{Cause: errUnsettled}
+	if l.NeedsRepair() {
+		return nil, &NotWrittenError{Cause: errNeedsRepair}
 	}
 	for conflicts := 0; ; conflicts++ {
 		results, entries := l.plan(changes)
@@ -269,8 +268,8 @@
 				return nil, &NotWrittenError{Cause: err}
 			}
 			fresh = true
-			if l.Unsettled() {
-				return nil, &NotWrittenError{Cause: errUnsettled}
+			if l.NeedsRepair() {
+				return nil, &NotWrittenError{Cause: errNeedsRepair}
 			}
 			results, entries = l.plan(changes)
 		}
@@ -286,8 +285,8 @@
 		}
 		l.events.Inc("conflicts")
 		fresh = true
-		if l.Unsettled() {
-			return nil, &NotWrittenError{Cause: errUnsettled}
+		if l.NeedsRepair() {
+			return nil, &NotWrittenError{Cause: errNeedsRepair}
 		}
 		if !sleepOrWake(ctx, conflictPause(conflicts), nil) {
 			return nil, &NotWrittenError{Cause: errors.Wrap(ctx.Err(), "append of budget entries")}
@@ -391,110 +390,16 @@
 	return e.withPart(own.writer, part{Net: own.Net + tokens, Seq: own.Seq})
 }
 
-// write appends entries at the position that they were planned for, and the marker of
-// the era if there is one. It reports whether they took effect; if it returns false
-// without an error they never will.
-func (l *Ledger) write(ctx context.Context, planned map[string]entry, marker *marker) (bool, error) {
-	l.writeSeq++
-	batch, err := l.encodeBatch(planned, marker)
-	if err != nil {
-		return false, err
-	}
-	at := l.end
-	for {
-		fence := l.currentFence()
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		err := l.log.AppendAt(call, l.stream, at, batch...)
-		cancel()
-		l.events.Inc("appends")
-		restored := errors.Is(err, logservice.ErrRestored)
-		l.recordAvailability(err == nil || restored || errors.Is(err, logservice.ErrMoved))
-		if err == nil {
-			return l.recordWrite(planned, marker, at.After(len(batch)), fence)
-		}
-		if restored {
-			l.loaded = false
-			return false, l.abandon(planned, err)
-		}
-		if !errors.Is(err, logservice.ErrMoved) {
-			l.events.Inc("append_unknown")
-			l.logger.Debug().Err(err).Int64("offset", int64(at.Offset)).Msg("append got no reply, reading back its outcome")
-		}
-		ours, known, err := l.readBack(ctx, at)
-		switch {
-		case errors.Is(err, logservice.ErrRestored):
-			l.loaded = false
-			return false, l.abandon(planned, err)
-		case errors.Is(err, logservice.ErrTrimmed):
-			return l.resolveTrimmed(ctx, planned)
-		case err == nil && known && ours:
-			return l.confirm(planned, at.Era, fence)
-		case err == nil && known:
-			return false, nil
-		}
-		// No entry is at the offset yet. Retrying the same append at the same
-		// offset is safe: only one of the attempts can take effect.
-		select {
-		case <-ctx.Done():
-			return false, l.abandon(planned, errors.Wrap(ctx.Err(), "append of budget entries"))
-		case <-time.After(retryDelay):
-		}
-	}
-}
-
-// encodeBatch returns the entries of an append, the marker last.
-func (l *Ledger) encodeBatch(planned map[string]entry, marker *marker) ([]logservice.KeyedEntry, error) {
-	batch := make([]logservice.KeyedEntry, 0, len(planned)+1)
-	for _, account := range slices.Sorted(maps.Keys(planned)) {
-		e := planned[account]
-		e.Incarnation, e.Write, e.Era = l.incarnation, l.writeSeq, l.end.Era
-		raw, err := e.encode()
-		if err != nil {
-			return nil, err
-		}
-		batch = append(batch, logservice.KeyedEntry{Key: account, Value: raw})
-	}
-	if marker != nil {
-		marker.Incarnation, marker.Write = l.incarnation, l.writeSeq
-		raw, err := marker.encode()
-		if err != nil {
-			return nil, err
-		}
-		batch = append(batch, logservice.KeyedEntry{Key: markerKey, Value: raw})
-	}
-	return batch, nil
-}
-
-// abandon ends an append whose outcome will not be known and returns the cause. What it
-// would have returned counts as returned, what it would have drawn as not drawn; both are
-// stated in the next append.
-func (l *Ledger) abandon(planned map[string]entry, cause error) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for account, e := range planned {
-		own, found := l.own[account]
-		if !found {
-			continue
-		}
-		own.Net = min(own.Net, e.Parts[own.writer].Net)
-		own.Seq++
-		l.own[account] = own
-		l.entries[account] = l.entries[account].withPart(own.writer, own.part)
-		l.unwritten[account] = struct{}{}
-	}
-	return cause
-}
-
 // Unavailable reports whether nothing can be drawn now: the log did not answer the last
 // append or refresh, or draws that it lost are being collected.
 func (l *Ledger) Unavailable() bool {
-	return l.unavailableSince.Load() != nil || l.Unsettled()
+	return l.unavailableSince.Load() != nil || l.NeedsRepair()
 }
 
 // UnavailableFor returns how long nothing can be drawn; zero if tokens can be.
 func (l *Ledger) UnavailableFor() time.Duration {
 	longest := time.Duration(0)
-	for _, since := range []*time.Time{l.unavailableSince.Load(), l.unsettledSince.Load()} {
+	for _, since := range []*time.Time{l.unavailableSince.Load(), l.repairSince.Load()} {
 		if since != nil {
 			longest = max(longest, time.Since(*since))
 		}
@@ -515,121 +420,3 @@
 		l.logger.Warn().Int64("offset", int64(l.end.Offset)).Msg("budget entries cannot be written, requests are served from local balances")
 	}
 }
-
-// recordWrite records the entries of an append that took effect.
-func (l *Ledger) recordWrite(planned map[string]entry, marker *marker, end logservice.Position, fence logservice.Era) (bool, error) {
-	l.mu.Lock()
-	for account, e := range planned {
-		delete(l.unwritten, account)
-		l.changedAt[account] = time.Now()
-		if known := l.entries[account]; !e.covers(known) { // learnt from another router meanwhile
-			e = merge(e, known)
-			l.unwritten[account] = struct{}{}
-		}
-		l.entries[account] = e
-	}
-	if marker != nil {
-		l.settled, l.markerAt, l.hadMarker = marker.Era, end.Offset-1, true
-	}
-	l.end, l.readAt = end, time.Now()
-	l.recordEra()
-	l.mu.Unlock()
-	return l.confirm(planned, end.Era, fence)
-}
-
-// currentFence returns the highest era that another router has named.
-func (l *Ledger) currentFence() logservice.Era {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.fence
-}
-
-// confirm records the parts of this incarnation in an append that took effect in an era.
-// It fails with ErrRestored if another router has named a later era since the call began,
-// when the fence was the given one: the append may be lost. A fence from before the call
-// was wrong, since the log has answered in an earlier era afterwards.
-func (l *Ledger) confirm(planned map[string]entry, era, fence logservice.Era) (bool, error) {
-	l.mu.Lock()
-	lost := era != 0 && era < l.fence && fence < l.fence
-	if !lost {
-		for account, e := range planned {
-			if own, found := l.own[account]; found {
-				own.part = e.Parts[own.writer]
-				l.own[account] = own
-			}
-		}
-	}
-	l.mu.Unlock()
-	if lost {
-		return false, l.abandon(planned, errors.Wrap(logservice.ErrRestored, "append of budget entries"))
-	}
-	return true, nil
-}
-
-// readBack reads the entries from a position on, and reports whether the first is
-// of this incarnation's last append. That is not known while there are none.
-func (l *Ledger) readBack(ctx context.Context, at logservice.Position) (ours, known bool, err error) {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	asked := time.Now()
-	page, err := l.log.ReadKeyed(call, l.stream, at, 0)
-	if err != nil {
-		return false, false, err
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.readAt = asked
-	l.contended = len(page.Entries) > 0
-	if len(page.Entries) == 0 {
-		return false, false, nil
-	}
-	for i, raw := range page.Entries {
-		if i == 0 {
-			incarnation, write, err := decodeAppend(raw)
-			if err != nil {
-				return false, false, err
-			}
-			ours = incarnation == l.incarnation && write == l.writeSeq
-		}
-		if err := l.apply(raw); err != nil {
-			return false, false, err
-		}
-	}
-	l.end = page.Next
-	l.recordEra()
-	return ours, true, nil
-}
-
-// resolveTrimmed looks for the parts of an append that was trimmed before it was read
-// back. If it had no parts of this incarnation, its outcome can't be determined.
-func (l *Ledger) resolveTrimmed(ctx context.Context, planned map[string]entry) (bool, error) {
-	era := l.end.Era
-	l.loaded = false
-	if err := l.Load(ctx); err != nil {
-		return false, l.abandon(planned, err)
-	}
-	if l.end.Era != era {
-		return false, l.abandon(planned, logservice.ErrRestored)
-	}
-	l.mu.Lock()
-	applied, decided := false, false
-	for account, e := range planned {
-		own, found := l.own[account]
-		if !found {
-			continue
-		}
-		decided = true
-		if l.entries[account].Parts[own.writer].Seq == e.Parts[own.writer].Seq {
-			applied = true // an append is atomic
-		}
-	}
-	l.mu.Unlock()
-	switch {
-	case !decided:
-		return false, ErrUnresolved
-	case applied:
-		return l.confirm(planned, era, l.currentFence())
-	default:
-		return false, nil
-	}
-}
--- a/internal/prepaid/shard.go
+++ b/internal/prepaid/shard.go
@@ -158,7 +158,7 @@
 		if _, isOwner := s.ownersIn(bs.fleet()); isOwner {
 			loads.Go(func() {
 				bs.retryLoad(ctx, func() error { return s.ledger.Load(ctx) })
-				for !bs.settle(ctx, s, i) && sleepOrWake(ctx, collectInterval, nil) {
+				for !bs.repair(ctx, s, i) && sleepOrWake(ctx, collectInterval, nil) {
 				}
 			})
 		}
