entry: a router that leaves does not announce itself again, and asks for settings once it has some

Found by reading: the announcement after a restore could follow that of a stop, and a router that had read no settings yet was sent those of four others at each start.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -416,6 +416,9 @@
 		case <-ctx.Done():
 			return
 		}
+		if r.stopping.Load() {
+			return // the router has announced that it leaves, or is about to
+		}
 	}
 }
 
--- a/internal/entry/refresh.go
+++ b/internal/entry/refresh.go
@@ -22,6 +22,7 @@
 // fetchNewerSettings gets settings that the log has lost from other routers.
 func (r *Router) fetchNewerSettings(ctx context.Context) {
 	r.peerSet.AwaitLoaded(ctx, announceDelay)
+	r.awaitSettings(ctx)
 	for rounds := startRounds; ; rounds = restoreRounds {
 		for _, round := range rounds {
 			select {
@@ -40,6 +41,20 @@
 	}
 }
 
+// Wait for the settings in the log, before others are asked for newer ones: without a
+// version to compare with, each of them would send its settings.
+const (
+	settingsTimeout    = time.Second
+	settingsPollPeriod = 20 * time.Millisecond
+)
+
+// awaitSettings waits until the settings were read from the log, at most settingsTimeout.
+func (r *Router) awaitSettings(ctx context.Context) {
+	for end := time.Now().Add(settingsTimeout); r.settings.Current() == nil && time.Now().Before(end) && ctx.Err() == nil; {
+		time.Sleep(settingsPollPeriod)
+	}
+}
+
 func (r *Router) askForSettings(ctx context.Context, count int) {
 	version := int64(0)
 	if settings := r.settings.Current(); settings != nil {
