--- a/internal/prepaid/copies.go
+++ b/internal/prepaid/copies.go
@@ -13,8 +13,9 @@
 // than the age of a copy from which the log is restored.
 const copyWindow = 2 * time.Minute
 
-// Copy returns the known entries that have changed within copyWindow. Appends that are acknowledged in an earlier era than the
-// given one count as lost from now on, so that the copy holds all draws of that time.
+// Copy returns the known entries that have changed within copyWindow. An append in progress
+// that is acknowledged in an earlier era than the given one counts as lost, so that the
+// copy holds all draws of that time.
 func (l *Ledger) Copy(era logservice.Era) (Copy, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -115,7 +115,7 @@
 	firstEra   logservice.Era       // era in which entries were first read
 	lastEra    logservice.Era       // era in which they were last read or written
 	unrepaired logservice.Era       // era without a marker that was last seen
-	fence      logservice.Era       // appends that were acknowledged in an earlier era count as lost
+	fence      logservice.Era       // highest era that another router has named
 
 	end       logservice.Position // up to which the entries are known; only used by the caller of Apply
 	loaded    bool                // only used by the caller of Apply
@@ -242,10 +242,10 @@
 	return tokens, owners
 }
 
-// Apply makes changes, and writes what the log lacks, in one append. It retries until the outcome of the append
-// is known or ctx ends. The results are in the order of the changes. It fails
-// with a NotWrittenError if nothing was or will be written, and with ErrUnresolved if the
-// outcome can't be determined.
+// Apply makes changes, and writes what the log lacks, in one append. It retries until the
+// outcome of the append is known or ctx ends. The results are in the order of the changes.
+// It fails with a NotWrittenError if nothing was or will be written, and with ErrUnresolved
+// or ErrRestored if the outcome can't be determined.
 //
 // Only a fresh read shows that an account has too few tokens: other routers may
 // have returned some. If other routers write to the stream too, it is read
