--- a/review/_standin2/client.go
+++ b/review/_standin2/client.go
@@ -10,7 +10,7 @@
 	"github.com/camphorlever/camphorlever/platform/standin"
 )
 
-// call is a request of a client for a generation, on a connection of its own.
+// call is a request of a client, on a connection of its own; for a generation if it has a prompt.
 type call struct {
 	attempt, path  string
 	prompt, output int // tokens, the largest number of output tokens
@@ -42,9 +42,12 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(c.deadline + time.Second))
-	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Camphorlever-Attempt-Id: %s\r\nX-Camphorlever-Model: m\r\nX-Camphorlever-Token-Usage: %d,%d\r\n"+
-		"X-Camphorlever-Prompt-Prefix: %s\r\nX-Camphorlever-Deadline-Ms: %d\r\nAuthorization: Token key\r\nContent-Length: 2\r\n\r\nhi",
-		c.path, standin.Host, c.attempt, c.prompt, c.output, c.parts, c.deadline.Milliseconds())
+	generation := ""
+	if c.prompt > 0 {
+		generation = fmt.Sprintf("X-Camphorlever-Model: m\r\nX-Camphorlever-Token-Usage: %d,%d\r\nX-Camphorlever-Prompt-Prefix: %s\r\n", c.prompt, c.output, c.parts)
+	}
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Camphorlever-Attempt-Id: %s\r\n%sX-Camphorlever-Deadline-Ms: %d\r\nAuthorization: Token key\r\nContent-Length: 2\r\n\r\nhi",
+		c.path, standin.Host, c.attempt, generation, c.deadline.Milliseconds())
 	if err != nil {
 		return answer{err: err}
 	}
