--- a/review/_standin2/world.go
+++ b/review/_standin2/world.go
@@ -48,6 +48,8 @@
 	store   *standin.LogServer
 	routers []*router
 	trouble bool
+
+	memoryMB int // of each router's machine
 }
 
 // router is a router process.
@@ -61,14 +63,14 @@
 
 // newWorld starts the store. The network is one that no other run uses.
 func newWorld(rec *record, dir string, trouble bool) *world {
-	w := &world{record: rec, dir: dir, trouble: trouble, store: standin.NewLogServer()}
+	w := &world{record: rec, dir: dir, trouble: trouble, store: standin.NewLogServer(), memoryMB: 284}
 	w.network = fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, 1+(os.Getpid()/200)%250)
 	return w
 }
 
 // settingsFile returns the settings of a router like those of a small deployment.
 func (w *world) settingsFile(node, ip string, first bool) string {
-	return strings.NewReplacer("NODE", node, "ADDR", ip, "STORE", w.store.Address(), "BOOT", strconv.FormatBool(first)).Replace(`node_name = "NODE"
+	return strings.NewReplacer("NODE", node, "ADDR", ip, "STORE", w.store.Address(), "MEMORY", strconv.Itoa(w.memoryMB), "BOOT", strconv.FormatBool(first)).Replace(`node_name = "NODE"
 role = "entry"
 machine_class = "frontend"
 served_roles = ["frontend"]
@@ -91,7 +93,7 @@
 [limits]
 cpu_fraction = 0.304
 cpu_cores = 1
-memory_mb = 284
+memory_mb = MEMORY
 file_descriptors = 4100
 link_mbps = 1000.0
 disk_mb = 0
