forward: log the last event's ID and events without an ID for each attempt

The log had the number of events and the cause of an attempt, which cannot tell an event of the stream from other bytes, nor show after which event a stream is resumed.

The lines of an attempt now have the events without an ID, the ID of the last event, shortened, and the bytes sent; filter_forward counts event_unnumbered.

--- a/internal/filter/forward/handler.go
+++ b/internal/filter/forward/handler.go
@@ -128,6 +128,7 @@
 	retryReserved atomic.Bool // the budget has granted another attempt
 
 	lastEventID string // last event sent to the caller, or that it already had
+	unnumbered  int64  // events without an ID that were sent to the caller
 
 	quarantine *quarantine.Attempt // the present attempt, or the last one
 }
@@ -323,22 +324,29 @@
 		avoidFor = placed.MarkFailed()
 		run.handler.Log.Info().Str("server", placed.Server.ID).Str("address", placed.Server.Address).
 			Str("request", p.Call.Attempt).Strs("prompt_parts", loggedParts(p.Call.Parts)).Int64("events", p.EventsDelivered).
+			Int64("unnumbered", run.unnumbered).Str("last_event", run.loggedLastEvent()).Int64("bytes", run.request.Writer.Bytes).
 			Dur("avoided", avoidFor).AnErr("cause", result.cause).Msg("backend server is avoided after a failed attempt")
 	}
-	sends, events := p.Sends, p.EventsDelivered
+	sends, events, unnumbered, lastEvent, bytes := p.Sends, p.EventsDelivered, run.unnumbered, run.loggedLastEvent(), run.request.Writer.Bytes
 	run.request.Note("attempt ended", func(e *zerolog.Event) {
 		e.Str("server", placed.Server.ID).Str("outcome", outcomeNames[result.outcome]).AnErr("cause", result.cause).
-			Int("sends", sends).Int64("events", events).Dur("avoided", avoidFor)
+			Int("sends", sends).Int64("events", events).Int64("unnumbered", unnumbered).Str("last_event", lastEvent).
+			Int64("bytes", bytes).Dur("avoided", avoidFor)
 	})
 }
 
-// Limits on the prompt parts in a log line, since callers choose their number and
-// the length of their IDs.
+// Limits on the IDs in a log line, since callers and servers choose their length.
 const (
-	maxLoggedParts  = 8
-	maxLoggedPartID = 32 // bytes
+	maxLoggedParts   = 8
+	maxLoggedPartID  = 32 // bytes
+	maxLoggedEventID = 32 // bytes
 )
 
+// loggedLastEvent returns the ID of the last event, shortened.
+func (run *passthrough) loggedLastEvent() string {
+	return run.lastEventID[:min(len(run.lastEventID), maxLoggedEventID)]
+}
+
 // loggedParts returns the IDs of the first prompt parts, shortened.
 func loggedParts(parts []filter.PromptPart) []string {
 	ids := make([]string, 0, min(len(parts), maxLoggedParts))
--- a/internal/filter/forward/stream.go
+++ b/internal/filter/forward/stream.go
@@ -128,6 +128,9 @@
 		anyUnsent = true
 		if id != "" {
 			run.lastEventID = id
+		} else {
+			run.unnumbered++
+			run.handler.counters.Inc("event_unnumbered")
 		}
 		run.passthrough.EventsDelivered++
 		return true
