forward: send only events of the stream, and resume only what holds nothing else

Cause: whatever ended with an empty line was sent as an event, one without an id counted as the next one also in a numbered stream, and a stream was resumed whatever had been sent since its last number. On related paths: events in one read with foreign bytes were dropped but counted as sent; foreign pieces were billed, and counted towards the limit of events across servers; an id that is no number was sent to the next server; a comment before events that the caller has shifted what was sent after them ("id: 3\ndata: x\n\nd: 3\ndata: x").

Change: internal/sequence judges each event and says whether the stream may be resumed; the scanner also takes an empty line of the other line end for the end of an event, in linear time.

--- a/internal/eventstream/comment_test.go
+++ b/internal/eventstream/comment_test.go
@@ -18,6 +18,15 @@
 		": a\n\nid: 1\n\n: b\n\nid: 2\n\n\n": 2,
 	}
 	for text, want := range cases {
-		require.Equal(t, want, CountEvents([]byte(text)), "%q", text)
+		got := 0
+		Split([]byte(text), func(raw []byte) bool {
+			event, err := Parse(raw)
+			require.NoError(t, err)
+			if !event.Comment {
+				got++
+			}
+			return true
+		})
+		require.Equal(t, want, got, "%q", text)
 	}
 }
--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -1,10 +1,11 @@
 // Package eventstream splits a stream of server-sent events (text/event-stream)
-// into events. It does not parse the fields of an event, except for its id.
+// into events, and checks and parses what all events have in common.
 package eventstream
 
 import (
 	"bytes"
 	"io"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 )
@@ -16,12 +17,19 @@
 	MaxEventBytes = 256 << 10
 )
 
+// Terminators of events: an empty line after the end of the last one. Lines end with LF or
+// CRLF.
+var terminators = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+
 // maxTerminator is the length in bytes of the longest event terminator.
-const maxTerminator = len("\r\n\r\n")
+const maxTerminator = len("\n\r\n")
 
 // ErrTooLong means that an event exceeds MaxEventBytes.
 var ErrTooLong = errors.New("event is too long")
 
+// ErrMalformed means that bytes are not an event.
+var ErrMalformed = errors.New("bytes are not an event")
+
 // ErrPartial means that the stream ended in the middle of an event.
 var ErrPartial = errors.New("stream ended within an event")
 
@@ -99,7 +107,7 @@
 // none.
 func lastEventEnd(b []byte) int {
 	end := 0
-	for _, terminator := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
+	for _, terminator := range terminators {
 		if i := bytes.LastIndex(b, terminator); i >= 0 {
 			end = max(end, i+len(terminator))
 		}
@@ -125,46 +133,65 @@
 // firstEventEnd returns the end of the first complete event in b, or zero if there
 // is none.
 func firstEventEnd(b []byte) int {
-	lf := bytes.Index(b, []byte("\n\n"))
-	crlf := bytes.Index(b, []byte("\r\n\r\n"))
-	switch {
-	case crlf >= 0 && (lf < 0 || crlf < lf):
-		return crlf + 4
-	case lf >= 0:
-		return lf + 2
-	default:
-		return 0
+	for end := 0; ; {
+		i := bytes.IndexByte(b[end:], '\n')
+		if i < 0 {
+			return 0
+		}
+		end += i + 1
+		for _, emptyLine := range []string{"\n", "\r\n"} {
+			if len(b)-end >= len(emptyLine) && string(b[end:end+len(emptyLine)]) == emptyLine {
+				return end + len(emptyLine)
+			}
+		}
 	}
 }
 
-// IsComment reports whether an event consists only of comments and empty lines.
-func IsComment(event []byte) bool {
+// Event is what the fields of an event say.
+type Event struct {
+	ID      string // empty if it has none
+	Comment bool   // only comments and empty lines
+}
+
+// Parse parses an event. It fails with ErrMalformed if the bytes are not UTF-8, if a line has
+// a field that no event has or a CR or NUL in it, or if there are several ids. The format
+// lets receivers ignore unknown fields; here they are taken for bytes of something else.
+func Parse(event []byte) (Event, error) {
+	parsed, hasID := Event{Comment: true}, false
+	if !utf8.Valid(event) {
+		return Event{}, ErrMalformed
+	}
 	for line := range bytes.Lines(event) {
-		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
-			return false
+		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+		if bytes.IndexByte(line, '\r') >= 0 || bytes.IndexByte(line, 0) >= 0 {
+			return Event{}, ErrMalformed
+		}
+		if len(line) == 0 || line[0] == ':' {
+			continue
+		}
+		parsed.Comment = false
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		if !isFieldName(name) || (hasID && string(name) == "id") {
+			return Event{}, ErrMalformed
+		}
+		if string(name) == "id" {
+			hasID, parsed.ID = true, string(bytes.TrimSpace(value))
 		}
 	}
-	return true
+	return parsed, nil
 }
 
-// CountEvents returns the number of events in b that are not only comments.
-func CountEvents(b []byte) int {
-	n := 0
-	Split(b, func(event []byte) bool {
-		if !IsComment(event) {
-			n++
-		}
+// isFieldName reports whether a name is that of a field of the format, or of an extension.
+func isFieldName(name []byte) bool {
+	switch string(name) {
+	case "data", "event", "id", "retry":
 		return true
-	})
-	return n
-}
-
-// ID returns the id of an event, or an empty string if it has none.
-func ID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value))
+	}
+	extension, ok := bytes.CutPrefix(name, []byte("x-"))
+	for _, c := range extension {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
 		}
 	}
-	return ""
+	return ok && len(extension) > 0
 }
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -19,6 +19,7 @@
 		{"empty", "", nil, io.EOF},
 		{"two events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, io.EOF},
 		{"CRLF line ends", "id: 1\r\n\r\nid: 2\r\n\r\n", []string{"id: 1\r\n\r\n", "id: 2\r\n\r\n"}, io.EOF},
+		{"mixed line ends", "id: 1\n\r\nid: 2\r\n\n", []string{"id: 1\n\r\n", "id: 2\r\n\n"}, io.EOF},
 		{"incomplete last event", "id: 1\n\nid: 2\nda", []string{"id: 1\n\n"}, ErrPartial},
 		{"long", "data: " + strings.Repeat("x", 3*initialBuffer) + "\n\n", []string{"data: " + strings.Repeat("x", 3*initialBuffer) + "\n\n"}, io.EOF},
 		{"too long", strings.Repeat("x", MaxEventBytes+1), nil, ErrTooLong},
@@ -51,9 +52,30 @@
 	require.ErrorIs(t, err, iotest.ErrTimeout)
 }
 
-func TestID(t *testing.T) {
-	require.Equal(t, "7", ID([]byte("data: id: 3\nid: 7\n\n")))
-	require.Equal(t, "", ID([]byte("data: x\n\n")))
+func TestParse(t *testing.T) {
+	sound := map[string]string{ // IDs
+		"data: id: 3\nid: 7\n\n":                     "7",
+		"data: x\n\n":                                "",
+		"id:8\r\ndata: a\r\ndata: b\r\n\r\n":         "8",
+		"id\ndata\n\n":                               "",
+		"event: done\ndata: caf\u00e9 \u2713\t\n\n":  "",
+		"x-version-2: 3\nid: 9\ndata: {\"a\":1}\n\n": "9",
+		": comment\nretry: 10\nid: 10\n\n":           "10",
+	}
+	for text, id := range sound {
+		event, err := Parse([]byte(text))
+		require.NoError(t, err, "%q", text)
+		require.Equal(t, Event{ID: id}, event, "%q", text)
+	}
+	for _, text := range []string{
+		"id: 1\ndata: \xff\n\n", "id: \xc3\n\n", ": \xff\n\n", // no UTF-8
+		"id: 1\ndata: a\rid: 2\n\n", "id: 1\ndata: \x00\n\n",
+		"HTTP/1.1 200 OK\r\nid: 1\r\n\r\n", "<html>\n\n", "{\"id\":1}\n\n", "id : 1\n\n", "two words\nid: 1\n\n", "word\nid: 1\n\n", "Data: x\n\n", "x-: x\n\n", "x-é: x\n\n",
+		"id: 1\ndata: paid: 2\nid: 2\ndata: b\n\n", // the end of the first event is missing
+	} {
+		_, err := Parse([]byte(text))
+		require.ErrorIs(t, err, ErrMalformed, "%q", text)
+	}
 }
 
 // FuzzScanner checks that the scanner returns exactly the complete events of any
--- a/internal/filter/forward/attempt.go
+++ b/internal/filter/forward/attempt.go
@@ -78,7 +78,7 @@
 		Body:        p.Body,
 		Attempt:     p.Call.Attempt,
 		TimeLeft:    time.Until(p.Deadline),
-		LastEventID: run.lastEventID,
+		LastEventID: run.events.LastEventID(),
 		Urgency:     upstream.DefaultUrgency,
 		FreshConn:   !p.Route.AllowsRerun(),
 		BeforeSend:  run.beforeSend(placed, time.Now()),
--- a/internal/filter/forward/handler.go
+++ b/internal/filter/forward/handler.go
@@ -14,6 +14,7 @@
 	"github.com/camphorlever/camphorlever/internal/membership"
 	"github.com/camphorlever/camphorlever/internal/quarantine"
 	"github.com/camphorlever/camphorlever/internal/refusal"
+	"github.com/camphorlever/camphorlever/internal/sequence"
 )
 
 // Limits on the attempts of one request.
@@ -54,10 +55,7 @@
 	p := r.Passthrough
 	budget := h.retryBudget(p.Service.Name)
 	budget.RecordRequest()
-	run := &passthrough{handler: h, request: r, passthrough: p}
-	if p.Route.Resumable {
-		run.lastEventID = p.Call.LastEventID
-	}
+	run := &passthrough{handler: h, request: r, passthrough: p, events: sequence.New(resumeAfter(p), p.Call.MaxOutput)}
 	var last result
 	for {
 		h.Gate.Refresh(ctx)
@@ -92,6 +90,15 @@
 	}
 }
 
+// resumeAfter returns the event after which the caller wants to resume a stream, empty if it
+// wants all of it or the route's streams cannot be resumed.
+func resumeAfter(p *filter.Passthrough) string {
+	if !p.Route.Resumable {
+		return ""
+	}
+	return p.Call.LastEventID
+}
+
 // cacheKey returns the ID of the prompt part that selects the server with a warm
 // cache: the last part that other requests share. The final part is taken to be
 // unique to the request, so the key is the one before it, if there is one.
@@ -127,8 +134,7 @@
 
 	retryReserved atomic.Bool // the budget has granted another attempt
 
-	lastEventID string // last event sent to the caller, or that it already had
-	unnumbered  int64  // events without an ID that were sent to the caller
+	events *sequence.Sequence // of a stream, sent to the caller
 
 	quarantine *quarantine.Attempt // the present attempt, or the last one
 }
@@ -172,7 +178,7 @@
 		return ""
 	case p.Sends >= p.Route.MaxAttempts:
 		return "attempts_spent"
-	case r.outcome == cutOff && (!p.Route.Resumable || run.lastEventID == ""):
+	case r.outcome == cutOff && (!p.Route.Resumable || !run.events.CanResume()):
 		return "answer_began"
 	case (r.outcome == failed || r.outcome == failedByServer) && !p.Route.AllowsRerun():
 		return "may_have_run"
@@ -324,10 +330,10 @@
 		avoidFor = placed.MarkFailed()
 		run.handler.Log.Info().Str("server", placed.Server.ID).Str("address", placed.Server.Address).
 			Str("request", p.Call.Attempt).Strs("prompt_parts", loggedParts(p.Call.Parts)).Int64("events", p.EventsDelivered).
-			Int64("unnumbered", run.unnumbered).Str("last_event", run.loggedLastEvent()).Int64("bytes", run.request.Writer.Bytes).
+			Int64("unnumbered", run.events.Anonymous()).Str("last_event", run.loggedLastEvent()).Int64("bytes", run.request.Writer.Bytes).
 			Dur("avoided", avoidFor).AnErr("cause", result.cause).Msg("backend server is avoided after a failed attempt")
 	}
-	sends, events, unnumbered, lastEvent, bytes := p.Sends, p.EventsDelivered, run.unnumbered, run.loggedLastEvent(), run.request.Writer.Bytes
+	sends, events, unnumbered, lastEvent, bytes := p.Sends, p.EventsDelivered, run.events.Anonymous(), run.loggedLastEvent(), run.request.Writer.Bytes
 	run.request.Note("attempt ended", func(e *zerolog.Event) {
 		e.Str("server", placed.Server.ID).Str("outcome", outcomeNames[result.outcome]).AnErr("cause", result.cause).
 			Int("sends", sends).Int64("events", events).Int64("unnumbered", unnumbered).Str("last_event", lastEvent).
@@ -344,7 +350,8 @@
 
 // loggedLastEvent returns the ID of the last event, shortened.
 func (run *passthrough) loggedLastEvent() string {
-	return run.lastEventID[:min(len(run.lastEventID), maxLoggedEventID)]
+	id := run.events.LastEventID()
+	return id[:min(len(id), maxLoggedEventID)]
 }
 
 // loggedParts returns the IDs of the first prompt parts, shortened.
--- a/internal/filter/forward/stream.go
+++ b/internal/filter/forward/stream.go
@@ -5,7 +5,6 @@
 	"io"
 	"mime"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,11 +13,7 @@
 	"github.com/camphorlever/camphorlever/internal/upstream"
 )
 
-var (
-	errOutOfOrder    = errors.New("events are out of order")
-	errTooManyEvents = errors.New("stream has more events than the request allows tokens")
-	errEmptyStream   = errors.New("connection ended before the first event of the stream")
-)
+var errEmptyStream = errors.New("connection ended before the first event of the stream")
 
 const eventStreamType = "text/event-stream"
 
@@ -42,144 +37,49 @@
 		e.Close(false)
 		return run.unusableResponse(ctx, errNotFromServer)
 	}
-	scanner, received, firstAt := eventstream.NewScanner(e), 0, time.Time{}
-	for first := true; ; {
-		events, err := scanner.Next()
+	scanner, firstAt := eventstream.NewScanner(e), time.Time{}
+	run.events.StartPart()
+	for {
+		received, err := scanner.Next()
 		if errors.Is(err, io.EOF) {
-			e.Close(true)
-			if received == 0 && e.CloseDelimited {
-				return run.unusableResponse(ctx, errEmptyStream)
-			}
-			if !e.CloseDelimited {
-				run.quarantine.Answered()
-			}
-			return run.finishStream(e)
+			return run.finishStream(ctx, e)
 		}
 		if err != nil {
 			e.Close(false)
 			return run.unusableResponse(ctx, err)
 		}
+		accepted, failed := run.events.Accept(received)
+		run.passthrough.EventsDelivered = run.events.Events()
 		// Comments keep no stream alive: a stalled server may go on sending them.
-		if eventstream.CountEvents(events) > 0 {
-			if first {
+		if accepted.Progress {
+			if firstAt.IsZero() {
 				onFirstEvent()
-				first, firstAt = false, time.Now()
+				firstAt = time.Now()
 				run.quarantine.Began()
 			}
 			silenceTimer.reset(streamSilenceTimeout(run.passthrough.Route))
+			if time.Since(firstAt) >= provingPeriod {
+				run.quarantine.Answered()
+			}
 		}
-		if received == 0 && !run.continues(events) {
-			e.Close(false)
-			return run.unusableResponse(ctx, errOutOfOrder)
-		}
-		received += eventstream.CountEvents(events)
-		if !firstAt.IsZero() && time.Since(firstAt) >= provingPeriod {
-			run.quarantine.Answered()
-		}
-		unsentEvents, err := run.unsentEvents(events)
-		if err != nil {
-			e.Close(false)
-			return run.unusableResponse(ctx, err)
-		}
-		if len(unsentEvents) == 0 {
-			continue
-		}
-		if err := run.writeEvents(e, unsentEvents); err != nil {
+		if err := run.writeEvents(e, accepted.Send); err != nil {
 			e.Close(false)
 			return result{outcome: cutOff, cause: errCallerDisconnected}
 		}
-	}
-}
-
-// continues reports whether events begin with one that can follow those sent to the caller
-// in earlier attempts. Numbered events are followed by numbered ones.
-func (run *passthrough) continues(events []byte) bool {
-	if !run.request.Writer.Started() || run.lastEventID == "" {
-		return true
-	}
-	numbered := true
-	eventstream.Split(events, func(event []byte) bool {
-		if eventstream.IsComment(event) {
-			return true
-		}
-		numbered = eventstream.ID(event) != ""
-		return false
-	})
-	return numbered
-}
-
-// unsentEvents checks the order and the number of events and drops leading ones that
-// were already sent to the caller, as happens when a stream is resumed.
-func (run *passthrough) unsentEvents(events []byte) ([]byte, error) {
-	skip, anyUnsent, outOfOrder := 0, false, false
-	eventstream.Split(events, func(event []byte) bool {
-		if eventstream.IsComment(event) {
-			return true
-		}
-		id := eventstream.ID(event)
-		switch position := compareEventIDs(run.lastEventID, id); {
-		case position == alreadySent && !anyUnsent:
-			skip += len(event)
-			return true
-		case position != inSequence:
-			outOfOrder = true
-			return false
-		}
-		anyUnsent = true
-		if id != "" {
-			run.lastEventID = id
-		} else {
-			run.unnumbered++
-			run.handler.counters.Inc("event_unnumbered")
+		if failed != nil {
+			run.handler.counters.Inc("stream_unsound")
+			e.Close(false)
+			return run.unusableResponse(ctx, failed)
 		}
-		run.passthrough.EventsDelivered++
-		return true
-	})
-	switch limit := run.passthrough.Call.MaxOutput; {
-	case outOfOrder:
-		return nil, errOutOfOrder
-	case limit > 0 && run.passthrough.EventsDelivered > limit+finalEvents:
-		return nil, errTooManyEvents
-	}
-	return events[skip:], nil
-}
-
-// finalEvents is how many events of a stream may have no token, such as one that
-// marks its end.
-const finalEvents = 1
-
-// eventPosition is the position of an event relative to the last one sent.
-type eventPosition uint8
-
-const (
-	inSequence    eventPosition = iota // the next event
-	alreadySent                        // at or before the last event sent
-	eventsMissing                      // at least one event in between is missing
-)
-
-// compareEventIDs compares the IDs of two events. IDs that are empty or not numeric
-// cannot be ordered and count as in sequence.
-func compareEventIDs(last, id string) eventPosition {
-	if last == "" || id == "" {
-		return inSequence
-	}
-	a, errA := strconv.ParseInt(last, 10, 64)
-	b, errB := strconv.ParseInt(id, 10, 64)
-	switch {
-	case errA != nil || errB != nil:
-		return inSequence
-	case b <= a:
-		return alreadySent
-	case b > a+1:
-		return eventsMissing
-	default:
-		return inSequence
 	}
 }
 
 // writeEvents sends events to the caller, preceded by the header of the response
 // if nothing was sent yet.
 func (run *passthrough) writeEvents(e *upstream.Exchange, events []byte) error {
+	if len(events) == 0 {
+		return nil
+	}
 	w := run.request.Writer
 	if !w.Started() {
 		run.passthrough.TimeToFirstEvent = time.Since(run.request.Received)
@@ -192,9 +92,24 @@
 	return w.Flush()
 }
 
-// finishStream completes the response after the server ended its stream. The
+// finishStream completes the response after the server has ended its stream. The
 // header is sent here if the stream had no events.
-func (run *passthrough) finishStream(e *upstream.Exchange) result {
+func (run *passthrough) finishStream(ctx context.Context, e *upstream.Exchange) result {
+	e.Close(true)
+	if run.events.IsEmpty() && e.CloseDelimited {
+		return run.unusableResponse(ctx, errEmptyStream)
+	}
+	withheld, err := run.events.End()
+	if err != nil {
+		return run.unusableResponse(ctx, err)
+	}
+	run.passthrough.EventsDelivered = run.events.Events()
+	if !e.CloseDelimited {
+		run.quarantine.Answered()
+	}
+	if err := run.writeEvents(e, withheld); err != nil {
+		return result{outcome: cutOff, cause: errCallerDisconnected}
+	}
 	w := run.request.Writer
 	if !w.Started() {
 		run.copyHeader(e.Header)
