upstream: a body without a length is complete only if the whole request was written

What callers saw: a part of an answer as all of it, with status 200. A server answered a long upload early, without a length, sent a part and reset the connection while the upload was still written. Answers and beginnings of streams alike, on all kinds of routes.

Cause: the request is written and the response read by two goroutines. The kernel reports a reset to one call only; where the write gets it, the read sees an end in order, and nothing looked at the write's error. A connection that fails since sent bytes stay unacknowledged ends in the same way. An end in order says little too while the request is not whole: a server that dies with an empty receive queue also sends one before its reset.

Change: at the end of such a body, Exchange.Read waits for the write, which ends with the context at the latest, and fails with ErrIncompleteResponse if the write has failed. A server that ends its side and reads the rest of the request is still believed. Counter answer_ended_early. Answers with a length or chunks are as before.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -33,7 +33,7 @@
 type requestWrite struct {
 	done     atomic.Bool
 	err      error         // valid once done is set
-	finished chan struct{} // closed when the write has ended
+	finished chan struct{} // closed when the write has ended, at the latest with the context
 }
 
 // Do sends a request and reads the header of its response. If ctx ends before
@@ -149,8 +149,21 @@
 
 // Read reads the response body. It returns io.EOF only if the body is
 // complete.
+//
+// A body that ends with the connection is complete only if the whole request was written. The
+// error of a connection that was reset is reported to one call, so if the write got it, the
+// read sees an end in order. Read waits for the end of the write.
 func (e *Exchange) Read(b []byte) (int, error) {
-	return e.response.Body.Read(b)
+	n, err := e.response.Body.Read(b)
+	if !e.CloseDelimited || !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	<-e.requestWrite.finished
+	if e.requestWrite.err != nil {
+		e.pool.events.Inc("answer_ended_early")
+		return n, fmt.Errorf("%w: %w", ErrIncompleteResponse, e.requestWrite.err)
+	}
+	return n, err
 }
 
 // ContentLength returns the length of the body, negative if it is unknown.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -72,8 +72,8 @@
 	// BeforeSend failed. The server cannot have run the request.
 	ErrNotSent = errors.New("request was not sent")
 	// ErrIncompleteResponse means that the request was sent, at least in part,
-	// and the connection failed or closed before the response header was
-	// complete. The request may have run.
+	// and the connection failed or closed before the response was complete. The
+	// request may have run.
 	ErrIncompleteResponse = errors.New("connection broke before the response was complete")
 	// ErrResponseMismatch means that the bytes received were not a response to
 	// the request. The request may have run.
