engine: a plain answer without a length is complete only if the whole call was written

Change: an answer that ends with its connection counts as complete once the trace of the request says that it was written without an error. The transport closes the connection at the end of such an answer, so a service that ends its side and reads on is not believed here; the call may have run, which is what the caller is told.

TestAnswerThatEndsBeforeItsCall failed before. TestAnswerWithoutLengthIsComplete shows that 200 of 200 sound ones stay complete.

--- a/internal/engine/plain.go
+++ b/internal/engine/plain.go
@@ -50,7 +50,8 @@
 	}
 	wd := startWatchdog(ctx, c.plainSilenceTimeout(job))
 	defer wd.stop()
-	request, err := http.NewRequestWithContext(wd.ctx, job.Call.Method, c.base+job.Call.Path, bytes.NewReader(job.Call.Body))
+	upload := newUploadWatch()
+	request, err := http.NewRequestWithContext(upload.trace(wd.ctx), job.Call.Method, c.base+job.Call.Path, bytes.NewReader(job.Call.Body))
 	if err != nil {
 		return gate.Outcome{Result: wire.Result{Status: http.StatusBadRequest, Message: err.Error()}}, true
 	}
@@ -69,7 +70,11 @@
 	result := wire.Result{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type")}
 	sink.SetResult(result)
 	outcome := gate.Outcome{MayHaveRun: true, Result: result}
-	if err := copyBody(wd.reader(response.Body), sink); err != nil {
+	err = copyBody(wd.reader(response.Body), sink)
+	if err == nil && isCloseDelimited(response) {
+		err = upload.wait()
+	}
+	if err != nil {
 		c.counts.Inc("plain_broken")
 		outcome.Result.Message = "service broke its answer off"
 		return outcome, true
