upstream, engine: a status that the protocol does not have is no response

What callers saw: after a status 000, 007 or 099 the next head on the connection as their answer, or 504 after the whole timeout; 101, 600 and 999 as they came. 600 and 999 with "not executed" had a request that must not run again sent to a second server.

Cause: all statuses below 200 but 101 were skipped as interim responses, and 101 and all from 200 up were final. In the side process any status was the answer of a service. In relay any status below 500 but 200 meant that a gate had not got the run.

Change: httpclient.IsFinalStatus holds for 200 to 599; 100 and 102 to 199 are interim; others fail the attempt as a mismatch, so the request may have run.

--- a/internal/engine/chat.go
+++ b/internal/engine/chat.go
@@ -133,7 +133,7 @@
 func (r *chatRun) exchange(ctx context.Context, request *http.Request) streamEnd {
 	wd := startWatchdog(ctx, r.client.config.SilenceTimeout)
 	defer wd.stop()
-	response, err := r.client.http.Do(request.WithContext(wd.ctx))
+	response, err := r.client.do(request.WithContext(wd.ctx))
 	if err != nil {
 		if isDialError(err) {
 			r.dialRefused = isConnectionRefused(err)
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -114,6 +114,17 @@
 	return c.runChat(ctx, job, sink)
 }
 
+// do sends a request. A response whose status cannot be that of one is an error.
+func (c *Client) do(request *http.Request) (*http.Response, error) {
+	response, err := c.http.Do(request)
+	if err != nil || httpclient.IsFinalStatus(response.StatusCode) {
+		return response, err
+	}
+	response.Body.Close()
+	c.counts.Inc("status_invalid")
+	return nil, errors.Errorf("status %03d is not valid", response.StatusCode)
+}
+
 // callJSON makes one short call with a JSON body and decodes the JSON reply. It
 // returns an error for a reply that can't be decoded and for any status but 200;
 // the HTTP status is returned in both cases, 0 if no response arrived.
@@ -133,7 +144,7 @@
 		return 0, errors.Wrap(err, "build request")
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := c.http.Do(request)
+	response, err := c.do(request)
 	if err != nil {
 		return 0, errors.Wrapf(err, "%s %s", method, path)
 	}
--- a/internal/engine/plain.go
+++ b/internal/engine/plain.go
@@ -59,7 +59,7 @@
 		request.Header.Set("Content-Type", job.Call.ContentType)
 	}
 	request.Header.Set("Idempotency-Key", job.Key.String())
-	response, err := c.http.Do(request)
+	response, err := c.do(request)
 	if err != nil {
 		c.counts.Inc("plain_failed")
 		failed := wire.Result{Status: http.StatusBadGateway, Message: "service did not answer"}
--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -13,3 +13,10 @@
 	transport.MaxResponseHeaderBytes = MaxHeadBytes
 	return &http.Client{Transport: transport}
 }
+
+// lastStatus is the highest status of the protocol.
+const lastStatus = 599
+
+// IsFinalStatus reports whether a response to a request can have a status. Others are interim,
+// switch to a protocol that nobody asked for, or come from a faulty server.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= lastStatus }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -161,13 +161,13 @@
 	if response.StatusCode == http.StatusOK {
 		return response, transport, nil
 	}
-	// A status below 500 means that the listener refused the request before it
-	// reached the gate. A status of 500 or more may come from the gate itself.
+	// A status from 400 to 499 means that the listener refused the request before it
+	// reached the gate. Any other may come from the gate itself.
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, 4096))
 	response.Body.Close()
-	reason := ErrNotSent
-	if response.StatusCode >= http.StatusInternalServerError {
-		reason = ErrNoReply
+	reason := ErrNoReply
+	if response.StatusCode >= http.StatusBadRequest && response.StatusCode < http.StatusInternalServerError {
+		reason = ErrNotSent
 	}
 	return nil, transport, errors.Wrapf(reason, "gate's listener answered %d", response.StatusCode)
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -243,6 +243,7 @@
 		want   error
 	}{
 		"refused by the listener":      {status(http.StatusForbidden), ErrNotSent},
+		"status of no refusal":         {status(http.StatusFound), ErrNoReply},
 		"server error":                 {status(http.StatusInternalServerError), ErrNoReply},
 		"no response header":           {func(g *fakeGate, _ http.ResponseWriter, _ wire.ResumeRequest) { g.waitForStop() }, ErrNoReply},
 		"no frame after the header":    {serveThenHang(), ErrNoReply},
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"github.com/camphorlever/camphorlever/internal/httpclient"
 	"github.com/camphorlever/camphorlever/internal/membership"
 )
 
@@ -35,6 +36,9 @@
 	maxDiscardedBytes = 256 << 10
 )
 
+// errInvalidStatus means that a status is not one that can answer a request.
+var errInvalidStatus = errors.New("status is not valid")
+
 // errHeadTooLong means that a response's head exceeds maxHeadBytes.
 var errHeadTooLong = errors.New("head of the response is too long")
 
@@ -125,7 +129,8 @@
 }
 
 // readResponse reads the header of the next response. It skips interim (1xx)
-// responses except 101. All of these together may have maxHeadBytes.
+// responses. All of these together may have maxHeadBytes. A status that the protocol
+// does not have is an error, and so is 101, since no request asks for another protocol.
 func (c *conn) readResponse(method string) (*http.Response, error) {
 	c.limit.setLimit(maxHeadBytes, errHeadTooLong)
 	defer c.limit.clearLimit()
@@ -134,9 +139,14 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		status := response.StatusCode
+		if httpclient.IsFinalStatus(status) {
 			return response, nil
 		}
+		isInterim := status >= http.StatusContinue && status < http.StatusOK
+		if !isInterim || status == http.StatusSwitchingProtocols {
+			return nil, errors.Wrapf(errInvalidStatus, "status %03d", status)
+		}
 	}
 }
 
