eventstream: an empty line after the last event is no part of an event

What callers saw: a sound stream that ends with an extra empty line was cut off at its end, if that line came in a read of its own; with the last event it passed.

Cause: what remained at the end of the stream was taken for the beginning of an event.

Change: the scanner returns an empty line that remains. Parse reports whether there are only empty lines.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -64,7 +64,7 @@
 		}
 		s.searched = s.end
 		if s.err != nil {
-			return nil, s.readError()
+			return s.last()
 		}
 		if err := s.makeRoom(); err != nil {
 			return nil, err
@@ -75,11 +75,19 @@
 	}
 }
 
-func (s *Scanner) readError() error {
-	if errors.Is(s.err, io.EOF) && s.start < s.end {
-		return ErrPartial
+// last returns what remains when the reader has failed: an empty line after the last event, or
+// an error.
+func (s *Scanner) last() ([]byte, error) {
+	rest := s.buffer[s.start:s.end]
+	switch {
+	case !errors.Is(s.err, io.EOF) || len(rest) == 0:
+		return nil, s.err
+	case string(rest) == "\n" || string(rest) == "\r\n":
+		s.start = s.end
+		return rest, nil
+	default:
+		return nil, ErrPartial
 	}
-	return s.err
 }
 
 // makeRoom moves unread data to the start of the buffer and grows the buffer if it
@@ -151,13 +159,14 @@
 type Event struct {
 	ID      string // empty if it has none
 	Comment bool   // only comments and empty lines
+	Empty   bool   // only empty lines
 }
 
 // Parse parses an event. It fails with ErrMalformed if the bytes are not UTF-8, if a line has
 // a field that no event has or a CR or NUL in it, or if there are several ids. The format
 // lets receivers ignore unknown fields; here they are taken for bytes of something else.
 func Parse(event []byte) (Event, error) {
-	parsed, hasID := Event{Comment: true}, false
+	parsed, hasID := Event{Comment: true, Empty: true}, false
 	if !utf8.Valid(event) {
 		return Event{}, ErrMalformed
 	}
@@ -166,7 +175,11 @@
 		if bytes.IndexByte(line, '\r') >= 0 || bytes.IndexByte(line, 0) >= 0 {
 			return Event{}, ErrMalformed
 		}
-		if len(line) == 0 || line[0] == ':' {
+		if len(line) == 0 {
+			continue
+		}
+		parsed.Empty = false
+		if line[0] == ':' {
 			continue
 		}
 		parsed.Comment = false
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -20,6 +20,8 @@
 		{"two events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, io.EOF},
 		{"CRLF line ends", "id: 1\r\n\r\nid: 2\r\n\r\n", []string{"id: 1\r\n\r\n", "id: 2\r\n\r\n"}, io.EOF},
 		{"mixed line ends", "id: 1\n\r\nid: 2\r\n\n", []string{"id: 1\n\r\n", "id: 2\r\n\n"}, io.EOF},
+		{"empty line at the end", "id: 1\r\n\r\n\r\n", []string{"id: 1\r\n\r\n", "\r\n"}, io.EOF},
+		{"part of an empty line at the end", "id: 1\r\n\r\n\r", []string{"id: 1\r\n\r\n"}, ErrPartial},
 		{"incomplete last event", "id: 1\n\nid: 2\nda", []string{"id: 1\n\n"}, ErrPartial},
 		{"long", "data: " + strings.Repeat("x", 3*initialBuffer) + "\n\n", []string{"data: " + strings.Repeat("x", 3*initialBuffer) + "\n\n"}, io.EOF},
 		{"too long", strings.Repeat("x", MaxEventBytes+1), nil, ErrTooLong},
@@ -67,6 +69,13 @@
 		require.NoError(t, err, "%q", text)
 		require.Equal(t, Event{ID: id}, event, "%q", text)
 	}
+	for text, want := range map[string]Event{
+		"\n": {Comment: true, Empty: true}, "\r\n\n": {Comment: true, Empty: true}, ":\n\n": {Comment: true}, "\n: x\n\n": {Comment: true},
+	} {
+		event, err := Parse([]byte(text))
+		require.NoError(t, err)
+		require.Equal(t, want, event, "%q", text)
+	}
 	for _, text := range []string{
 		"id: 1\ndata: \xff\n\n", "id: \xc3\n\n", ": \xff\n\n", // no UTF-8
 		"id: 1\ndata: a\rid: 2\n\n", "id: 1\ndata: \x00\n\n",
@@ -98,5 +107,6 @@
 		}
 		require.True(t, bytes.HasPrefix(in, out))
 		require.Zero(t, lastEventEnd(in[len(out):]))
+		require.NotContains(t, []string{"\n", "\r\n"}, string(in[len(out):]), "an empty line is not a part of an event")
 	})
 }
