sequence: withhold empty lines until the next event or comment

What callers saw: an empty line of foreign bytes inside a stream that was resumed. It changes nothing for a caller that parses events, but the body is not the stream's byte for byte.

Cause: random bytes that begin with a line feed, in one read with an event, end in an empty line; that passed as a comment and was sent at once.

Comments still pass at once.

--- a/internal/sequence/sequence.go
+++ b/internal/sequence/sequence.go
@@ -95,7 +95,7 @@
 type Accepted struct {
 	Send []byte // for the caller; valid as long as the received bytes are
 	// Progress reports whether events of the stream were received, including ones that
-	// the caller already has. Comments and withheld events are no progress.
+	// the caller already has. Comments, and what is withheld, are no progress.
 	Progress bool
 }
 
@@ -104,7 +104,7 @@
 //
 // Events that the caller already has are dropped at the start of a part. Events without a
 // number that follow numbered ones are withheld until the next numbered event or the end of
-// the stream: nothing else tells them from bytes that do not belong to it.
+// the stream: nothing else tells them from bytes that do not belong to it. So are empty lines.
 func (s *Sequence) Accept(received []byte) (Accepted, error) {
 	var failed error
 	accepted, position, from, to := Accepted{}, 0, 0, 0
@@ -122,6 +122,7 @@
 			accepted.Progress = true
 		case drop:
 			from, to = position, position // with the comments between such events
+			s.withheld = nil
 			accepted.Progress = true
 		}
 		return true
@@ -144,7 +145,7 @@
 const (
 	sendEvent   verdict = iota // after what was withheld before it
 	sendComment                // the same
-	withhold                   // until an event after it is sent, or the stream ends
+	withhold                   // until what comes after it is sent, or the stream ends
 	drop                       // the caller has it
 )
 
@@ -157,7 +158,7 @@
 		return 0, err
 	}
 	if event.Comment {
-		return s.judgeComment(len(raw))
+		return s.judgeComment(event.Empty, len(raw))
 	}
 	s.part.received = true
 	if number, ok := parseNumber(event.ID); ok {
@@ -171,12 +172,14 @@
 	return s.judgeAnonymous(event.ID, len(raw))
 }
 
-func (s *Sequence) judgeComment(size int) (verdict, error) {
+// judgeComment judges a comment, which is sent at once since it may keep a connection alive, or
+// empty lines. Those are withheld: bytes of another origin may begin with one.
+func (s *Sequence) judgeComment(isEmpty bool, size int) (verdict, error) {
 	if s.bytesBetween += size; s.bytesBetween > maxBytesBetween {
 		s.damaged = true
 		return 0, ErrFlood
 	}
-	if s.withheldEvents > 0 {
+	if isEmpty || s.withheldEvents > 0 {
 		return withhold, nil
 	}
 	return sendComment, nil
--- a/internal/sequence/sequence_test.go
+++ b/internal/sequence/sequence_test.go
@@ -43,31 +43,35 @@
 		err            error
 		resumable      bool
 	}{
-		"sound":                      {events(1, 3), events(1, 3), nil, true},
-		"not UTF-8":                  {events(1, 3) + noUTF8, events(1, 3), eventstream.ErrMalformed, true},
-		"sound ones after it":        {events(1, 3) + noUTF8 + event(4), events(1, 3), eventstream.ErrMalformed, true},
-		"before any event":           {noUTF8 + event(1), "", eventstream.ErrMalformed, false},
-		"joined to the next event":   {events(1, 3) + "garbage\n" + event(4), events(1, 3), eventstream.ErrMalformed, true},
-		"another response":           {events(1, 3) + otherHead + event(1), events(1, 3), eventstream.ErrMalformed, true},
-		"comment that is not UTF-8":  {events(1, 3) + ": \xff\n\n", events(1, 3), eventstream.ErrMalformed, true},
-		"number goes back":           {events(1, 3) + event(2), events(1, 3), ErrOutOfOrder, true},
-		"number comes twice":         {events(1, 3) + event(3), events(1, 3), ErrOutOfOrder, true},
-		"number is skipped":          {events(1, 3) + event(5), events(1, 3), ErrOutOfOrder, true},
-		"id is a word":               {events(1, 3) + "id: x\ndata: x\n\n", events(1, 3), ErrOutOfOrder, true},
-		"id is negative":             {events(1, 3) + "id: -4\n\n", events(1, 3), ErrOutOfOrder, true},
-		"id has a sign":              {events(1, 3) + "id: +4\n\n", events(1, 3), ErrOutOfOrder, true},
-		"event without a number":     {events(1, 3) + text, events(1, 3), nil, true},
-		"event with an empty id":     {events(1, 3) + "id:\ndata: x\n\n", events(1, 3), nil, true},
-		"too many of these":          {events(1, 3) + strings.Repeat(text, maxBytesBetween/len(text)+1), events(1, 3), ErrFlood, true},
-		"no numbers from the start":  {text + text, text + text, nil, false},
-		"no number at the start":     {text + events(1, 3), text + events(1, 3), nil, false},
-		"ids are words":              {"id: a\n\nid: b\n\n", "id: a\n\nid: b\n\n", nil, false},
-		"more events than tokens":    {events(1, 50), events(1, 11), ErrTooMany, false},
-		"comments":                   {":\n\n" + events(1, 2) + ": x\n\n", ":\n\n" + events(1, 2) + ": x\n\n", nil, true},
-		"comment after a withheld":   {events(1, 2) + text + ":\n\n", events(1, 2), nil, true},
-		"malformed after a comment":  {events(1, 2) + ":\n\n" + noUTF8, events(1, 2) + ":\n\n", eventstream.ErrMalformed, true},
-		"byte order mark":            {"\ufeff" + events(1, 2), "\ufeff" + events(1, 2), nil, true},
-		"byte order mark in between": {events(1, 2) + "\ufeff" + event(3), events(1, 2), eventstream.ErrMalformed, true},
+		"sound":                       {events(1, 3), events(1, 3), nil, true},
+		"not UTF-8":                   {events(1, 3) + noUTF8, events(1, 3), eventstream.ErrMalformed, true},
+		"sound ones after it":         {events(1, 3) + noUTF8 + event(4), events(1, 3), eventstream.ErrMalformed, true},
+		"before any event":            {noUTF8 + event(1), "", eventstream.ErrMalformed, false},
+		"joined to the next event":    {events(1, 3) + "garbage\n" + event(4), events(1, 3), eventstream.ErrMalformed, true},
+		"another response":            {events(1, 3) + otherHead + event(1), events(1, 3), eventstream.ErrMalformed, true},
+		"comment that is not UTF-8":   {events(1, 3) + ": \xff\n\n", events(1, 3), eventstream.ErrMalformed, true},
+		"number goes back":            {events(1, 3) + event(2), events(1, 3), ErrOutOfOrder, true},
+		"number comes twice":          {events(1, 3) + event(3), events(1, 3), ErrOutOfOrder, true},
+		"number is skipped":           {events(1, 3) + event(5), events(1, 3), ErrOutOfOrder, true},
+		"id is a word":                {events(1, 3) + "id: x\ndata: x\n\n", events(1, 3), ErrOutOfOrder, true},
+		"id is negative":              {events(1, 3) + "id: -4\n\n", events(1, 3), ErrOutOfOrder, true},
+		"id has a sign":               {events(1, 3) + "id: +4\n\n", events(1, 3), ErrOutOfOrder, true},
+		"event without a number":      {events(1, 3) + text, events(1, 3), nil, true},
+		"event with an empty id":      {events(1, 3) + "id:\ndata: x\n\n", events(1, 3), nil, true},
+		"too many of these":           {events(1, 3) + strings.Repeat(text, maxBytesBetween/len(text)+1), events(1, 3), ErrFlood, true},
+		"no numbers from the start":   {text + text, text + text, nil, false},
+		"no number at the start":      {text + events(1, 3), text + events(1, 3), nil, false},
+		"ids are words":               {"id: a\n\nid: b\n\n", "id: a\n\nid: b\n\n", nil, false},
+		"more events than tokens":     {events(1, 50), events(1, 11), ErrTooMany, false},
+		"comments":                    {":\n\n" + events(1, 2) + ": x\n\n", ":\n\n" + events(1, 2) + ": x\n\n", nil, true},
+		"comment after a withheld":    {events(1, 2) + text + ":\n\n", events(1, 2), nil, true},
+		"malformed after a comment":   {events(1, 2) + ":\n\n" + noUTF8, events(1, 2) + ":\n\n", eventstream.ErrMalformed, true},
+		"empty line":                  {events(1, 2) + "\n", events(1, 2), nil, true},
+		"empty line in between":       {events(1, 2) + "\r\n" + event(3), events(1, 2) + "\r\n" + event(3), nil, true},
+		"empty line before a comment": {events(1, 2) + "\n:\n\n", events(1, 2) + "\n:\n\n", nil, true},
+		"empty line before others":    {events(1, 3) + "\n" + noUTF8, events(1, 3), eventstream.ErrMalformed, true},
+		"byte order mark":             {"\ufeff" + events(1, 2), "\ufeff" + events(1, 2), nil, true},
+		"byte order mark in between":  {events(1, 2) + "\ufeff" + event(3), events(1, 2), eventstream.ErrMalformed, true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -161,6 +165,9 @@
 	if random.IntN(8) == 0 {
 		b.Write(byteOrderMark)
 	}
+	if random.IntN(8) == 0 {
+		line("")
+	}
 	for id, n := random.IntN(3), 0; n < 1+random.IntN(12); id, n = id+1, n+1 {
 		for random.IntN(4) == 0 {
 			line(": comment %d – ✓", n)
@@ -180,6 +187,9 @@
 		}
 		line("data:%d", n)
 		line("")
+		if random.IntN(8) == 0 {
+			line("")
+		}
 		if random.IntN(6) == 0 {
 			line("event: ping")
 			line("data")
