engine: an event without a number is not the next one of a numbered stream

What callers of camphor-router saw: a complete answer with a foreign event in place of one of its own.

An event with the stream's id and without a number, or with one that is no number, counted as the next, so the true next one was dropped as late. Data that is no UTF-8 passed too, since the JSON decoder replaces such bytes in its own copy only. Lines without data could come without end and kept the connection alive.

Change: in a numbered stream such an event breaks the connection, and the stream is resumed. The first event after a resumption is taken, its position was asked for, so engines that leave some events without a number are still served. Data must be UTF-8. The limit of an event includes what comes before it without data.

--- a/internal/engine/chat.go
+++ b/internal/engine/chat.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
@@ -91,6 +92,8 @@
 	sink            gate.Sink
 	id              string
 	nextIndex       uint64 // index of the next expected event
+	numbered        bool   // an event of the stream had a number
+	atStart         bool   // the next event is the first of its connection
 	doneUnconfirmed bool   // an end marker arrived before the usage
 	doneIndex       uint64 // nextIndex when that end marker arrived
 	dialRefused     bool   // the last failed dial was refused rather than timed out
@@ -155,6 +158,7 @@
 	}
 	r.outcome.MayHaveRun = true
 	r.sink.SetResult(wire.Result{Status: http.StatusOK, ContentType: eventStreamType})
+	r.atStart = true
 	return r.readEvents(wd, newSSEReader(wd.reader(response.Body)))
 }
 
@@ -190,7 +194,7 @@
 // this connection.
 func (r *chatRun) handleEvent(e sseEvent) (streamEnd, bool) {
 	var c chunk
-	if err := json.Unmarshal(e.data, &c); err != nil {
+	if err := json.Unmarshal(e.data, &c); err != nil || !utf8.Valid(e.data) {
 		r.client.counts.Inc("event_malformed")
 		return endBroken, true
 	}
@@ -201,6 +205,8 @@
 		r.client.counts.Inc("event_crossed")
 		return 0, false
 	}
+	atStart := r.atStart
+	r.atStart = false
 	if e.hasIndex && e.index < r.nextIndex {
 		r.client.counts.Inc("event_late")
 		return 0, false
@@ -209,6 +215,13 @@
 		r.client.counts.Inc("event_gap")
 		return endBroken, true
 	}
+	// In a numbered stream an event without a number may be any other one. The first event of
+	// a connection is the one that was asked for.
+	if !e.hasIndex && r.numbered && !atStart {
+		r.client.counts.Inc("event_unnumbered")
+		return endBroken, true
+	}
+	r.numbered = r.numbered || e.hasIndex
 	if !r.sink.AddEvent(e.data, c.outputTokens()) {
 		return endSinkFull, true
 	}
--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -9,7 +9,8 @@
 	"github.com/pkg/errors"
 )
 
-// maxEventBytes limits the size of one server-sent event.
+// maxEventBytes limits the size of one server-sent event, with all that comes before it and has
+// no data, such as comments.
 const maxEventBytes = 1 << 20
 
 // sseEvent is one server-sent event.
@@ -34,11 +35,14 @@
 // the end of the stream, even if the last event is incomplete.
 func (s *sseReader) next() (sseEvent, error) {
 	var e sseEvent
-	for {
+	for size := 0; ; {
 		line, err := s.readLine()
 		if err != nil {
 			return e, err
 		}
+		if size += len(line) + 1; size > maxEventBytes {
+			return e, errors.New("event is too large")
+		}
 		if len(line) == 0 {
 			if e.data != nil {
 				return e, nil
@@ -46,9 +50,6 @@
 			continue
 		}
 		e.parseField(line)
-		if len(e.data) > maxEventBytes {
-			return e, errors.New("event is too large")
-		}
 	}
 }
 
