soak: workers that send noise, answer early and reset, or send odd statuses

The proxies pass a reset on as a reset, and an answer with a status that the protocol does not have breaks a promise.

Three guards are on the list for -soak.guards.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -32,10 +32,13 @@
 
 const callerCount = 18
 
+// uploadBytes is the length of a long body.
+const uploadBytes = 1 << 20
+
 // settingsOf is a version of the operators' settings.
 func settingsOf(version int, prepaid [accountCount]int64, keys [accountCount]int) standin.Settings {
 	s := standin.Settings{
-		Version: version, Services: []string{"svc", "other"}, TokensPerEvent: tokensPerEvent,
+		Version: version, Services: []string{"svc", "other"}, TokensPerEvent: tokensPerEvent, MaxBodyBytes: uploadBytes,
 		Routes: []standin.Route{
 			{Prefix: "once", Kind: standin.NonIdempotent, Service: "svc", Timeout: wholeTimeout},
 			{Prefix: "safe", Kind: standin.Idempotent, Service: "svc", Timeout: wholeTimeout},
@@ -59,6 +62,7 @@
 	path       string
 	events     int
 	deadly     bool // the prompt has the deadly part
+	upload     bool // the body is long
 	account    int
 	generation int // of the key
 	router     int
@@ -112,6 +116,7 @@
 		q.path = fmt.Sprintf("/%s/%d/%s", q.kind, q.events, attempt)
 		q.deadly = w.deadly.Load() && r.IntN(6) == 0
 	}
+	q.upload = w.uploads.Load() && r.IntN(4) == 0
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	q.generation = w.keys[q.account]
@@ -157,6 +162,9 @@
 	if q.kind == "safe" || q.kind == "other" {
 		c.Method = http.MethodGet
 	}
+	if q.upload {
+		c.Body = strings.Repeat("u", uploadBytes)
+	}
 	if q.events > 0 {
 		c.MaxOutputTokens = int64(q.events) * tokensPerEvent
 		c.Prompt = []standin.PromptPart{{ID: "aa", Tokens: sharedTokens}, {ID: q.attempt[:1] + "b", Tokens: promptTokens - sharedTokens}}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -93,6 +93,10 @@
 		w.deadly.Store(true)
 		time.Sleep(span)
 		w.deadly.Store(false)
+	case uploads:
+		w.uploads.Store(true)
+		time.Sleep(span)
+		w.uploads.Store(false)
 	case impatience:
 		impatient.Store(true)
 		time.Sleep(span)
--- a/test/soak/guards_test.go
+++ b/test/soak/guards_test.go
@@ -72,6 +72,33 @@
 		without: "{}",
 		faults:  []Fault{{At: 300, For: 7000, N: 2, Kind: grey, Way: "say-leaving"}},
 	},
+	{
+		name: "an event without a number waits for the next one", file: "internal/sequence/sequence.go",
+		line:    "	return s.judgeAnonymous(event.ID, len(raw))\n",
+		without: "	_ = s.judgeAnonymous\n	return sendEvent, s.count(1)\n",
+		faults:  onAllWorkers("noise"),
+	},
+	{
+		name: "a reset while the request is written is no end", file: "internal/upstream/exchange.go",
+		line:    "	if e.requestWrite.err != nil {\n",
+		without: "	if false {\n",
+		faults:  append(onAllWorkers("early"), Fault{Kind: uploads, For: 7300}),
+	},
+	{
+		name: "only statuses of the protocol answer", file: "internal/upstream/conn.go",
+		line:    "		if !isInterim || status == http.StatusSwitchingProtocols {\n",
+		without: "		if isInterim && false {\n",
+		faults:  onAllWorkers("odd-status"),
+	},
+}
+
+// onAllWorkers spoils the answers of all workers that are there at first. Which of them gets most
+// streams follows from their names.
+func onAllWorkers(way string) (faults []Fault) {
+	for n := range workerCount {
+		faults = append(faults, Fault{At: 300, For: 7000, N: n, Kind: grey, Way: way})
+	}
+	return faults
 }
 
 // seedsEach is how many seeds look for a guard that is missing.
--- a/test/soak/promises_test.go
+++ b/test/soak/promises_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/camphorlever/camphorlever/internal/httpclient"
 	"github.com/camphorlever/camphorlever/platform/standin"
 )
 
@@ -219,6 +220,9 @@
 			out = append(out, fmt.Sprintf("%s of kind %s at router-%d, %v after the start, status %d: %s", q.attempt, q.kind, q.router,
 				q.sent.Sub(n.requests[0].sent).Round(time.Millisecond), q.status, what))
 		}
+		if q.status != 0 && !httpclient.IsFinalStatus(q.status) {
+			says("the protocol has no such status")
+		}
 		switch q.status {
 		case http.StatusOK:
 			n.checkSuccess(q, ran, says)
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -75,6 +76,9 @@
 		}
 		if err != nil {
 			p.hold(way) // the end of a connection is not seen through a cut either
+			if !errors.Is(err, io.EOF) {
+				hardClose(to) // a reset is passed on as one
+			}
 			return
 		}
 	}
--- a/test/soak/schedule_test.go
+++ b/test/soak/schedule_test.go
@@ -36,6 +36,7 @@
 	foreign    Kind = "foreign"    // entries that nobody can read come into the streams
 	impatience Kind = "impatience" // callers leave early
 	deadly     Kind = "deadly"     // a prompt part crashes workers
+	uploads    Kind = "uploads"    // callers send long bodies
 	restore    Kind = "restore"    // the log is away for the span and comes back from a copy
 )
 
@@ -73,14 +74,18 @@
 var kinds = []Kind{kill, kill, killAll, pause, pause, stop, reload, logCut, logReset, logDelay, logFault, logFault, logFault, forget,
 	workerCut, crash, leave, leave, reuse, grey, grey, topUp, revoke, foreign, impatience}
 
-// One of so many seeds has a deadly prompt part, or workers that ask for a pause and say
-// that they leave. These are not among kinds, so that the schedules of other seeds stay as
-// they were.
+// One of so many seeds has a deadly prompt part, workers that ask for a pause and say
+// that they leave, or workers whose answers are spoiled while callers send long bodies. These
+// are not among kinds, so that the schedules of other seeds stay as they were.
 const (
 	deadlyEvery  = 4
 	noticesEvery = 8
+	spoiledEvery = 6
 )
 
+// spoiledWays are the ways in which workers spoil answers.
+var spoiledWays = []string{"noise", "early", "odd-status"}
+
 // draw makes the schedule of a seed: single faults, series of one kind, and
 // overlaps.
 func draw(seed uint64) Schedule {
@@ -113,6 +118,12 @@
 			Fault{At: at, Kind: grey, Way: "pause", N: 1, For: 2000},
 			Fault{At: at + 500, Kind: grey, Way: "say-leaving", N: 2, For: 3000})
 	}
+	if seed%spoiledEvery == 2 {
+		s.Faults = append(s.Faults, Fault{At: 0, Kind: uploads, For: faultsTill})
+		for i := range workerCount * len(spoiledWays) {
+			s.Faults = append(s.Faults, Fault{At: 200 + r.IntN(faultsTill-2200), Kind: grey, Way: spoiledWays[i%len(spoiledWays)], N: r.IntN(12), For: 500 + r.IntN(1500)})
+		}
+	}
 	s.sort()
 	return s
 }
--- a/test/soak/workers_test.go
+++ b/test/soak/workers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -71,6 +72,40 @@
 	}
 }
 
+// answerEarly answers a request with a part, before its body was read, and resets the
+// connection. It reports whether it has.
+func (w *worker) answerEarly(n *notes, conn net.Conn, r *http.Request) bool {
+	w.mu.Lock()
+	grey, id := w.grey, w.ID
+	w.mu.Unlock()
+	sent := standin.ParseForwardedRequest(r)
+	if grey != "early" || (sent.ExpectedServer != "" && sent.ExpectedServer != id) || slices.Contains(sent.PromptParts, deadlyPart) {
+		return false
+	}
+	n.runs(run{attempt: sent.AttemptID, account: sent.Account, worker: id, service: w.service, path: r.URL.Path, at: time.Now()})
+	head, part := "\r\n", sent.AttemptID
+	if _, events := parsePath(r.URL.Path); events > 0 {
+		head, part = "Content-Type: text/event-stream\r\n\r\n", standin.FormatEvent(sent.LastEventID+1, sent.AttemptID)
+	}
+	say(conn, standin.ResponseHead(sent.AttemptID, http.StatusOK, head+part))
+	hardClose(conn)
+	return true
+}
+
+// noise sends bytes that are no answer until the router closes the connection: random ones, or
+// events without numbers.
+func noise(conn net.Conn, seed byte, frame func(string) string) {
+	random, block := rand.NewChaCha8([32]byte{seed}), make([]byte, 4<<10)
+	for ok := true; ok; {
+		_, _ = random.Read(block) // never fails
+		text := string(block)
+		if seed%2 == 0 {
+			text = strings.Repeat("data: noise\n\n", 300)
+		}
+		ok = say(conn, frame(text))
+	}
+}
+
 // say writes to a router. It may be gone, which is a fault like others.
 func say(conn net.Conn, text string) (ok bool) {
 	_, err := io.WriteString(conn, text)
@@ -80,6 +115,12 @@
 // body names the request that an answer belongs to.
 func body(attempt, path string) string { return attempt + " " + path }
 
+// withOddStatus gives a response of status 200 a status that no response to a request has.
+func withOddStatus(response string) string {
+	odd := []string{" 000 ", " 099 ", " 101 ", " 600 "}
+	return strings.Replace(response, " 200 ", odd[rand.IntN(len(odd))], 1)
+}
+
 func whole(conn net.Conn, attempt, path, grey string) {
 	time.Sleep(workTime)
 	if grey == "foreign" {
@@ -87,6 +128,11 @@
 	}
 	answer := standin.CompleteResponse(attempt, http.StatusOK, body(attempt, path))
 	switch grey {
+	case "noise":
+		say(conn, standin.ResponseHead(attempt, http.StatusOK, "\r\n"+body(attempt, path)))
+		noise(conn, attempt[len(attempt)-1], func(text string) string { return text })
+	case "odd-status":
+		say(conn, withOddStatus(standin.ResponseHead(attempt, http.StatusOK, "\r\n"))+standin.CompleteResponse(attempt, http.StatusOK, "evil"))
 	case "half-head":
 		say(conn, answer[:strings.Index(answer, "\r\n\r\n")])
 		_ = conn.Close()
@@ -108,9 +154,16 @@
 	if grey == "say-leaving" {
 		head = standin.Leaving(head)
 	}
+	if grey == "odd-status" {
+		head = withOddStatus(head)
+	}
 	say(conn, head)
 	for i := sent.LastEventID + 1; i <= events; i++ {
 		time.Sleep(eventGap)
+		if grey == "noise" && i > sent.LastEventID+2 {
+			noise(conn, sent.AttemptID[len(sent.AttemptID)-1], standin.Chunk)
+			return
+		}
 		if grey == "cut-stream" && i > sent.LastEventID+2 {
 			_ = conn.Close()
 			return
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -47,6 +47,7 @@
 	routers []*router
 	notes   *notes
 	deadly  atomic.Bool // callers send the deadly prompt part
+	uploads atomic.Bool // callers send long bodies
 
 	mu       sync.Mutex // guards all below
 	workers  []*worker
@@ -163,6 +164,7 @@
 	if err != nil {
 		return err
 	}
+	server.OnHead(func(conn net.Conn, r *http.Request) bool { return added.answerEarly(w.notes, conn, r) })
 	w.next++
 	added.mu.Lock()
 	added.BackendServer = server
