sequence: tests for a comment alone, repeated events and withheld ones at the end

Three of 18 mutations of internal/sequence and of the parser survived its tests: an event without a number after nothing but a comment of an earlier part, the limit of comments that never starts over, and withheld events that do not count at the end.

--- a/internal/sequence/sequence_test.go
+++ b/internal/sequence/sequence_test.go
@@ -156,6 +156,63 @@
 	require.False(t, s.CanResume(), "it is unknown which events the caller has now")
 }
 
+// TestOnlyACommentWasSent: a server breaks off after a comment, and the caller has events from
+// an earlier response.
+func TestOnlyACommentWasSent(t *testing.T) {
+	s := New("3", 10)
+	s.StartPart()
+	sent, err := receive(s, ":\n\n")
+	require.NoError(t, err)
+	require.Equal(t, ":\n\n", sent)
+	require.True(t, s.CanResume())
+	s.StartPart()
+	_, err = receive(s, text)
+	require.ErrorIs(t, err, ErrOutOfOrder)
+}
+
+// TestEmptyLineBeforeRepeatedEvents is dropped with them, also if it comes in a read of its own.
+func TestEmptyLineBeforeRepeatedEvents(t *testing.T) {
+	s := New("", 10)
+	s.StartPart()
+	_, err := receive(s, events(1, 3))
+	require.NoError(t, err)
+	s.StartPart()
+	for _, part := range []string{"\n", events(1, 3)} {
+		sent, err := receive(s, part)
+		require.NoError(t, err)
+		require.Empty(t, sent)
+	}
+	sent, err := receive(s, event(4))
+	require.NoError(t, err)
+	require.Equal(t, event(4), sent)
+}
+
+// TestCommentsBetweenEventsHaveALimitEach sends more comments in all than may come between two
+// events.
+func TestCommentsBetweenEventsHaveALimitEach(t *testing.T) {
+	s := New("", 100)
+	s.StartPart()
+	comment := ":" + strings.Repeat("x", maxBytesBetween/2) + "\n\n"
+	for id := range 10 {
+		_, err := receive(s, comment+event(id))
+		require.NoError(t, err)
+	}
+}
+
+// TestWithheldEventsCountAtTheEnd sends as many events as tokens, one more, and some without a
+// number.
+func TestWithheldEventsCountAtTheEnd(t *testing.T) {
+	for withheld, want := range map[int]error{0: nil, 1: ErrTooMany} {
+		s := New("", 10)
+		s.StartPart()
+		_, err := receive(s, events(1, 11)+strings.Repeat(text, withheld))
+		require.NoError(t, err)
+		sent, err := s.End()
+		require.ErrorIs(t, err, want)
+		require.Empty(t, sent)
+	}
+}
+
 // soundStream returns a stream in one of the forms that servers may use.
 func soundStream(random *rand.Rand) string {
 	lineEnd := []string{"\n", "\r\n"}[random.IntN(2)]
