--- a/internal/filter/forward/handler.go
+++ b/internal/filter/forward/handler.go
@@ -330,10 +330,10 @@
 		avoidFor = placed.MarkFailed()
 		run.handler.Log.Info().Str("server", placed.Server.ID).Str("address", placed.Server.Address).
 			Str("request", p.Call.Attempt).Strs("prompt_parts", loggedParts(p.Call.Parts)).Int64("events", p.EventsDelivered).
-			Int64("unnumbered", run.events.Anonymous()).Str("last_event", run.loggedLastEvent()).Int64("bytes", run.request.Writer.Bytes).
+			Int64("unnumbered", run.events.Unnumbered()).Str("last_event", run.loggedLastEvent()).Int64("bytes", run.request.Writer.Bytes).
 			Dur("avoided", avoidFor).AnErr("cause", result.cause).Msg("backend server is avoided after a failed attempt")
 	}
-	sends, events, unnumbered, lastEvent, bytes := p.Sends, p.EventsDelivered, run.events.Anonymous(), run.loggedLastEvent(), run.request.Writer.Bytes
+	sends, events, unnumbered, lastEvent, bytes := p.Sends, p.EventsDelivered, run.events.Unnumbered(), run.loggedLastEvent(), run.request.Writer.Bytes
 	run.request.Note("attempt ended", func(e *zerolog.Event) {
 		e.Str("server", placed.Server.ID).Str("outcome", outcomeNames[result.outcome]).AnErr("cause", result.cause).
 			Int("sends", sends).Int64("events", events).Int64("unnumbered", unnumbered).Str("last_event", lastEvent).
--- a/internal/sequence/sequence.go
+++ b/internal/sequence/sequence.go
@@ -39,9 +39,9 @@
 type numbering uint8
 
 const (
-	undecided  numbering = iota // no event was sent
-	numbered                    // the first event had a number
-	unnumbered                  // the first event had none
+	undecided        numbering = iota // no event was sent
+	startsNumbered                    // the first event had a number
+	startsUnnumbered                  // the first event had none
 )
 
 // Sequence follows the events of one response, which come in parts from one server after
@@ -56,8 +56,8 @@
 	started   bool   // something was sent to the caller
 	damaged   bool   // what was sent may not belong to the stream
 
-	events    int64 // sent
-	anonymous int64 // of these without a number
+	events     int64 // sent
+	unnumbered int64 // of these without a number
 
 	part           part
 	withheld       []byte
@@ -164,12 +164,12 @@
 	if number, ok := parseNumber(event.ID); ok {
 		return s.judgeNumbered(event.ID, number)
 	}
-	if s.numbering == unnumbered || (s.numbering == undecided && !s.part.resumes) {
-		s.numbering = unnumbered
-		s.anonymous++
+	if s.numbering == startsUnnumbered || (s.numbering == undecided && !s.part.resumes) {
+		s.numbering = startsUnnumbered
+		s.unnumbered++
 		return sendEvent, s.count(1)
 	}
-	return s.judgeAnonymous(event.ID, len(raw))
+	return s.judgeUnnumbered(event.ID, len(raw))
 }
 
 // judgeComment judges a comment, which is sent at once since it may keep a connection alive, or
@@ -196,7 +196,7 @@
 		return 0, err
 	}
 	if s.numbering == undecided {
-		s.numbering = numbered
+		s.numbering = startsNumbered
 	}
 	s.lastID, s.last, s.hasLast = id, number, true
 	s.part.advanced = true
@@ -204,9 +204,9 @@
 	return sendEvent, nil
 }
 
-// judgeAnonymous judges an event without a number in a numbered stream. id is empty, or
-// text.
-func (s *Sequence) judgeAnonymous(id string, size int) (verdict, error) {
+// judgeUnnumbered judges an event whose id is no number, or that has none, in a numbered
+// stream.
+func (s *Sequence) judgeUnnumbered(id string, size int) (verdict, error) {
 	if id != "" || !s.part.advanced {
 		return 0, ErrOutOfOrder
 	}
@@ -219,12 +219,12 @@
 
 // releaseWithheld records that what was withheld is sent.
 func (s *Sequence) releaseWithheld() {
-	s.anonymous += s.withheldEvents
+	s.unnumbered += s.withheldEvents
 	s.withheldEvents = 0
 }
 
-// count counts events that are sent. Those beyond the limit may not belong to the stream,
-// nor then those before them.
+// count counts events that are sent. A server that sends more than the limit may have sent
+// others before that do not belong to the stream.
 func (s *Sequence) count(n int64) error {
 	s.bytesBetween = 0
 	if s.maxEvents > 0 && s.events+n > s.maxEvents {
@@ -251,7 +251,7 @@
 // CanResume reports whether another server can go on with the stream after LastEventID, so
 // that the response holds nothing else than the events of the stream.
 func (s *Sequence) CanResume() bool {
-	return s.hasLast && s.numbering != unnumbered && !s.damaged
+	return s.hasLast && s.numbering != startsUnnumbered && !s.damaged
 }
 
 // LastEventID returns the id of the last event that the caller has, empty if it has none.
@@ -260,8 +260,8 @@
 // Events returns the number of events that were sent.
 func (s *Sequence) Events() int64 { return s.events }
 
-// Anonymous returns the number of events without a number that were sent.
-func (s *Sequence) Anonymous() int64 { return s.anonymous }
+// Unnumbered returns the number of events without a number that were sent.
+func (s *Sequence) Unnumbered() int64 { return s.unnumbered }
 
 // parseNumber parses an event's id. It reports whether the id is a number.
 func parseNumber(id string) (uint64, bool) {
--- a/test/soak/guards_test.go
+++ b/test/soak/guards_test.go
@@ -74,8 +74,8 @@
 	},
 	{
 		name: "an event without a number waits for the next one", file: "internal/sequence/sequence.go",
-		line:    "	return s.judgeAnonymous(event.ID, len(raw))\n",
-		without: "	_ = s.judgeAnonymous\n	return sendEvent, s.count(1)\n",
+		line:    "	return s.judgeUnnumbered(event.ID, len(raw))\n",
+		without: "	_ = s.judgeUnnumbered\n	return sendEvent, s.count(1)\n",
 		faults:  onAllWorkers("noise"),
 	},
 	{
