prepaid: tests read the log's counters under their lock

TestAccountsAreServedUntilUsedUp had a data race in 3 of 13 runs on arm64: it read the counters of its log while the last read of a router could still write them. The counters are read under the lock that guards them, also in two tests beside it; what is asserted is the same.

--- a/internal/prepaid/balances_test.go
+++ b/internal/prepaid/balances_test.go
@@ -324,7 +324,8 @@
 			time.Sleep(time.Second)
 		}
 		f.stopAll()
-		require.Less(t, f.log.reads, 60, "the ledger is not read for each request")
+		_, reads := f.log.callCounts()
+		require.Less(t, reads, 60, "the ledger is not read for each request")
 	})
 }
 
@@ -354,8 +355,9 @@
 		f.log.mu.Unlock()
 		use()
 		f.stopAll()
-		require.LessOrEqual(t, f.log.appends, 40*span)
-		require.LessOrEqual(t, f.log.reads, 40*span)
+		appends, reads := f.log.callCounts()
+		require.LessOrEqual(t, appends, 40*span)
+		require.LessOrEqual(t, reads, 40*span)
 	})
 }
 
--- a/internal/prepaid/exhaustion_test.go
+++ b/internal/prepaid/exhaustion_test.go
@@ -95,7 +95,8 @@
 				p.play(t, f, rand.New(rand.NewPCG(31, 32)), func(int) {})
 				f.stopAll()
 				time.Sleep(time.Second) // lets the calls in progress end
-				t.Log("covered", p.covered, "refused", p.refused, "appends", f.log.appends, "reads", f.log.reads, "calls", f.calls.Load())
+				appends, reads := f.log.callCounts()
+				t.Log("covered", p.covered, "refused", p.refused, "appends", appends, "reads", reads, "calls", f.calls.Load())
 				require.False(t, p.exceeded)
 				require.LessOrEqual(t, p.refused[Exhausted]+p.refused[ReservedForSmall]+p.refused[Unreachable], p.covered/100)
 			})
--- a/internal/prepaid/fake_test.go
+++ b/internal/prepaid/fake_test.go
@@ -47,6 +47,13 @@
 	return l.streams[name]
 }
 
+// callCounts returns how many calls went to the streams of the ledger.
+func (l *fakeLog) callCounts() (appends, reads int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends, l.reads
+}
+
 var errReplyLost = errors.New("reply is lost")
 
 func (l *fakeLog) chance(share float64) bool {
