retry: reserve a retry that may turn out not to be made

Cause: a retry is taken from the budget before a server is chosen. If none is reached it stays spent, though no server got a second request. Change: Reserve returns a reservation, and Cancel gives it back to the slot that it was taken from. Measured: TestCancelledReservationsAreReturned passes with the race detector.

--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -77,6 +77,29 @@
 // Allow consumes one retry from the budget. It returns false if the budget is
 // exhausted.
 func (b *Budget) Allow() bool {
+	_, ok := b.Reserve()
+	return ok
+}
+
+// Reservation is a retry consumed from a budget that may turn out not to be made.
+type Reservation struct {
+	budget *Budget
+	slot   int64 // in which it was consumed
+}
+
+// Cancel returns the retry to the budget.
+func (r Reservation) Cancel() {
+	b := r.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance()
+	if b.slot-r.slot < slotCount {
+		b.retries[r.slot%slotCount]--
+	}
+}
+
+// Reserve is Allow for a retry that may be cancelled.
+func (b *Budget) Reserve() (Reservation, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance()
@@ -86,10 +109,10 @@
 		retries += b.retries[i]
 	}
 	if retries >= b.limits.MinRetries && float64(retries+1) > b.limits.Ratio*float64(requests) {
-		return false
+		return Reservation{}, false
 	}
 	b.retries[b.slot%slotCount]++
-	return true
+	return Reservation{budget: b, slot: b.slot}, true
 }
 
 // advance drops the slots that have left the window. The caller holds the lock.
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -34,6 +34,29 @@
 	require.Equal(t, DefaultMinRetries, spend())
 }
 
+// A cancelled reservation can be made again, also after the window has moved on.
+func TestCancelledReservationsAreReturned(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := NewBudget(func() time.Time { return now })
+	first, ok := b.Reserve()
+	require.True(t, ok)
+	now = now.Add(DefaultWindow / slotCount)
+	for range DefaultMinRetries - 1 {
+		require.True(t, b.Allow())
+	}
+	require.False(t, b.Allow())
+	first.Cancel()
+	late, ok := b.Reserve()
+	require.True(t, ok)
+	require.False(t, b.Allow())
+	now = now.Add(2 * DefaultWindow)
+	late.Cancel()
+	for range DefaultMinRetries {
+		require.True(t, b.Allow())
+	}
+	require.False(t, b.Allow(), "the reservation had left the window")
+}
+
 // Wait never sleeps past the deadline or longer than the jitter limit.
 func TestBackoffRespectsDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
