sequence: fork the sequence of a stream for another server

Cause: to tell whether what another server sends continues a stream, the sequence had to be changed, so only one server could be heard at a time. Change: Fork copies the sequence and begins the part of another server. Started tells whether the caller has got anything.

--- a/internal/sequence/sequence.go
+++ b/internal/sequence/sequence.go
@@ -254,6 +254,17 @@
 	return s.hasLast && s.numbering != startsUnnumbered && !s.damaged
 }
 
+// Started reports whether something was sent to the caller.
+func (s *Sequence) Started() bool { return s.started }
+
+// Fork returns a copy that begins the part of another server, which may go on in place of the
+// present one.
+func (s *Sequence) Fork() *Sequence {
+	fork := *s
+	fork.StartPart()
+	return &fork
+}
+
 // LastEventID returns the id of the last event that the caller has, empty if it has none.
 func (s *Sequence) LastEventID() string { return s.lastID }
 
--- a/internal/sequence/sequence_test.go
+++ b/internal/sequence/sequence_test.go
@@ -374,3 +374,31 @@
 		})
 	})
 }
+
+// TestForkLeavesTheSequenceAlone has another server go on with a stream beside the present one,
+// with events that the caller has, and with bytes that are no event.
+func TestForkLeavesTheSequenceAlone(t *testing.T) {
+	s := New("", 0)
+	require.False(t, s.Fork().Started())
+	s.StartPart()
+	sent, err := receive(s, events(1, 3)+"\n")
+	require.NoError(t, err)
+	require.Equal(t, events(1, 3), sent)
+	for _, received := range []string{event(4), events(2, 4), text, noUTF8, event(5)} {
+		fork := s.Fork()
+		require.True(t, fork.Started())
+		require.Equal(t, "3", fork.LastEventID())
+		sent, _ := receive(fork, received)
+		if strings.HasSuffix(received, event(4)) {
+			require.Equal(t, event(4), sent)
+		} else {
+			require.Empty(t, sent)
+		}
+		require.Equal(t, "3", s.LastEventID())
+		require.EqualValues(t, 3, s.Events())
+		require.True(t, s.CanResume())
+	}
+	sent, err = receive(s, event(4))
+	require.NoError(t, err)
+	require.Equal(t, "\n"+event(4), sent, "what was withheld before the fork")
+}
