forward: keep a silent server until another one has answered

Cause: when the silence timeout expired, the attempt was cancelled as soon as some other server had not been tried and the budget granted a retry. Whether that server would take the request was not known then. A trace of one request (times since it came): chosen at 0 ms, silence timeout at 1062.7 ms, its connection closed, other server chosen at 1062.7 ms, refused with 503 at 1062.9 ms, not retried (attempts_spent), cut off at 1062.9 ms; the first server wanted to go on at 1400 ms.

Change: on silence the request is hedged. Another server gets it too, within the route's attempts, the deadline and the retry budget, and the connection to the first stays open. Whichever first sends something that the caller can use goes on (an event that the caller does not have, the end of the stream, a response below 400), and the other one is closed at once. Both claim the response under one lock, and no event of the loser is sent. The silent server is avoided by new requests from then on, as before. A hedge that reached no server returns its retry.

--- a/internal/filter/forward/attempt.go
+++ b/internal/filter/forward/attempt.go
@@ -5,70 +5,150 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
+	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/camphorlever/camphorlever/internal/affinity"
-	"github.com/camphorlever/camphorlever/internal/filter"
-	"github.com/camphorlever/camphorlever/internal/refusal"
+	"github.com/camphorlever/camphorlever/internal/catalog"
+	"github.com/camphorlever/camphorlever/internal/quarantine"
 	"github.com/camphorlever/camphorlever/internal/upstream"
 	"github.com/camphorlever/camphorlever/internal/urgency"
 )
 
-// Limits on a server's response.
-const (
-	// maxBufferedBytes limits a response that is no stream. While it is buffered
-	// and none of it was sent to the caller, the request can still be retried on
-	// another server.
-	maxBufferedBytes = 1 << 20
-)
-
 var (
-	errServerSilent    = errors.New("server sent nothing within the silence timeout")
-	errWithheld        = errors.New("server must not get the request any more")
-	errServerReplaced  = errors.New("address now belongs to another server")
-	errResponseTooLong = errors.Errorf("response is longer than %d bytes", maxBufferedBytes)
-	errNotFromServer   = errors.New("response was not written by the server, or was changed on the way")
+	errWithheld       = errors.New("server must not get the request any more")
+	errServerReplaced = errors.New("address now belongs to another server")
+	errNotFromServer  = errors.New("response was not written by the server, or was changed on the way")
+	errQuarantined    = errors.New("a part of the prompt crashes servers")
 )
 
-// response is a complete, buffered response of a server.
-type response struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
-// attempt sends the request to one server and forwards its response to the
-// caller if the response can be used.
-func (run *passthrough) attempt(parent context.Context, placed *affinity.Placement) result {
-	p := run.passthrough
-	ctx, cancel := context.WithCancelCause(parent)
-	defer cancel(nil)
-	silenceTimer := run.startSilenceTimer(placed, cancel)
-	defer silenceTimer.stop()
-
-	upstreamRequest := run.upstreamRequest(placed)
-	sentAt := time.Now()
-	exchange, err := run.handler.Pool.Do(ctx, upstreamRequest)
+// attempt sends a request to one server.
+type attempt struct {
+	placed     *affinity.Placement
+	quarantine *quarantine.Attempt // nil if it is not registered
+	ctx        context.Context
+	cancel     context.CancelCauseFunc
+	begunAt    time.Time
+	received   *received // of a hedge whose response is used; nil otherwise
+
+	avoidOnce sync.Once
+	avoided   time.Duration
+}
+
+// begin chooses a server that was not tried for a request, and registers the attempt with the
+// quarantine, after an earlier attempt or nil. It returns false if there is no server; conclude
+// must follow otherwise, unless the verdict withholds the request.
+func (run *passthrough) begin(ctx context.Context, tried []string, previous *quarantine.Attempt) (*attempt, quarantine.Verdict, bool) {
+	placed, ok := run.handler.Placer.Pick(run.servers(), run.query(tried))
+	if !ok {
+		return nil, quarantine.Verdict{}, false
+	}
+	a := &attempt{placed: placed, begunAt: time.Now()}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	registered, verdict := run.handler.Quarantine.Start(placed.Server, run.passthrough.QuarantineParts, previous,
+		func() { a.cancel(errQuarantined) })
+	if verdict.Blocked {
+		a.cancel(nil)
+		placed.Done()
+		return nil, verdict, true
+	}
+	a.quarantine = registered
+	return a, verdict, true
+}
+
+// recordFirstResponse records that the server has begun to respond.
+func (a *attempt) recordFirstResponse(route *catalog.Route) {
+	a.placed.RecordFirstResponse(route.Name, time.Since(a.begunAt))
+}
+
+// avoidServer has the server avoided for a time, and returns that time. It has an effect once.
+func (a *attempt) avoidServer() time.Duration {
+	a.avoidOnce.Do(func() { a.avoided = a.placed.MarkFailed() })
+	return a.avoided
+}
+
+// attempt sends the request to one server, unless a hedge has done so, and forwards its response
+// to the caller if it can be used and no hedge has been faster.
+func (run *passthrough) attempt(a *attempt, h *hedging) result {
+	r := run.forward(a, h)
+	if (r.outcome == failed || r.outcome == notExecuted) && run.request.Writer.Started() {
+		r.outcome = cutOff
+	}
+	return r
+}
+
+func (run *passthrough) forward(a *attempt, h *hedging) result {
+	if a.received == nil {
+		exchange, r := run.open(a, run.events.LastEventID())
+		run.count(r.outcome)
+		if exchange == nil {
+			return r
+		}
+		if run.isStream(exchange) {
+			a.received, r = run.startStream(a, exchange)
+		} else {
+			a.received, r = run.readResponse(a, exchange)
+		}
+		if a.received == nil {
+			return r
+		}
+	}
+	if a.received.scanner != nil {
+		return run.forwardStream(a, h)
+	}
+	return run.forwardResponse(a, h)
+}
+
+// count counts an attempt that has ended, or of which a response has arrived.
+func (run *passthrough) count(o outcome) {
+	if o == notSent {
+		return
+	}
+	run.passthrough.Sends++
+	if o != notExecuted {
+		run.passthrough.MayHaveRun = true
+	}
+}
+
+// open sends the request and reads the head of the response. It returns the result of the
+// attempt if that has ended. lastEventID is the event after which a stream goes on.
+func (run *passthrough) open(a *attempt, lastEventID string) (*upstream.Exchange, result) {
+	exchange, err := run.handler.Pool.Do(a.ctx, run.upstreamRequest(a.placed, lastEventID))
+	if errors.Is(err, upstream.ErrNotSent) {
+		return nil, result{outcome: notSent, cause: a.causeOf(err)}
+	}
 	if err != nil {
-		return run.transportFailed(ctx, err)
+		return nil, a.failed(err)
 	}
-	p.Sends++
 	if exchange.Info.NotExecuted && exchange.Status >= http.StatusBadRequest {
-		return run.notExecuted(exchange)
+		return nil, readRefusal(exchange)
 	}
-	p.MayHaveRun = true
-	if p.Route.IsStream() && exchange.Status == http.StatusOK && isEventStream(exchange.Header) {
-		return run.forwardStream(ctx, exchange, silenceTimer, func() { placed.RecordFirstResponse(p.Route.Name, time.Since(sentAt)) })
+	return exchange, result{outcome: delivered}
+}
+
+// failed returns the result of an attempt that may have run and whose response cannot be used.
+func (a *attempt) failed(err error) result {
+	return result{outcome: failed, cause: a.causeOf(err)}
+}
+
+// causeOf returns the cause of an error: why the attempt was cancelled, if it was.
+func (a *attempt) causeOf(err error) error {
+	ended := context.Cause(a.ctx)
+	switch {
+	case ended == nil:
+		return err
+	case errors.Is(ended, context.Canceled):
+		return errCallerDisconnected
+	default:
+		return errors.WithMessage(ended, err.Error())
 	}
-	placed.RecordFirstResponse(p.Route.Name, time.Since(sentAt))
-	return run.bufferResponse(ctx, exchange)
 }
 
 // upstreamRequest builds the request that is sent to the chosen server.
-func (run *passthrough) upstreamRequest(placed *affinity.Placement) *upstream.Request {
+func (run *passthrough) upstreamRequest(placed *affinity.Placement, lastEventID string) *upstream.Request {
 	p, in := run.passthrough, run.request.HTTP
 	s := &upstream.Request{
 		Server:      placed.Server,
@@ -78,7 +158,7 @@
 		Body:        p.Body,
 		Attempt:     p.Call.Attempt,
 		TimeLeft:    time.Until(p.Deadline),
-		LastEventID: run.events.LastEventID(),
+		LastEventID: lastEventID,
 		Urgency:     upstream.DefaultUrgency,
 		FreshConn:   !p.Route.AllowsRerun(),
 		BeforeSend:  run.beforeSend(placed, time.Now()),
@@ -108,121 +188,78 @@
 	}
 }
 
-// transportFailed classifies an attempt that ended without a response.
-func (run *passthrough) transportFailed(ctx context.Context, err error) result {
-	cause := err
-	if ended := context.Cause(ctx); ended != nil {
-		cause = errors.WithMessage(ended, err.Error())
-		if errors.Is(ended, context.Canceled) {
-			cause = errCallerDisconnected
-		}
-	}
-	if errors.Is(err, upstream.ErrNotSent) {
-		return result{outcome: notSent, cause: cause}
-	}
-	run.passthrough.Sends++
-	run.passthrough.MayHaveRun = true
-	if run.request.Writer.Started() {
-		return result{outcome: cutOff, cause: cause}
-	}
-	return result{outcome: failed, cause: cause}
-}
-
-// notExecuted handles a response which says that the server did not execute
-// the request. It drains the body so that the connection can be reused.
-func (run *passthrough) notExecuted(e *upstream.Exchange) result {
+// readRefusal handles a response which says that the server did not execute the
+// request. It drains the body so that the connection can be reused.
+func readRefusal(e *upstream.Exchange) result {
 	n, err := io.Copy(io.Discard, io.LimitReader(e, maxBufferedBytes+1))
 	e.Close(err == nil && n <= maxBufferedBytes)
-	cause := errors.Errorf("server refused with status %d", e.Status)
 	if e.Info.WrongServer {
-		cause = errServerReplaced
-	}
-	if run.request.Writer.Started() {
-		return result{outcome: cutOff, cause: cause}
+		return result{outcome: notExecuted, cause: errServerReplaced}
 	}
-	return result{outcome: notExecuted, cause: cause}
+	return result{outcome: notExecuted, cause: errors.Errorf("server refused with status %d", e.Status)}
 }
 
-// bufferResponse reads the complete response before any of it is sent to the caller, as far
-// as there is memory for it. A long response for which there is none is forwarded as it
-// arrives.
-func (run *passthrough) bufferResponse(ctx context.Context, e *upstream.Exchange) result {
-	success := e.Status < http.StatusMultipleChoices
-	if e.Info.Encoded || (success && !e.Info.FromServer) {
-		e.Close(false)
-		return run.unusableResponse(ctx, errNotFromServer)
-	}
-	if !run.passthrough.Route.AllowsRerun() && refusal.SaysNotRun(e.Status) {
-		e.Close(false)
-		return result{outcome: failedByServer, cause: errors.Errorf("server answered with status %d, but did not say that it has not run the request", e.Status)}
-	}
-	body, err := io.ReadAll(io.LimitReader(e, unreservedBytes+1))
-	if err == nil && len(body) > unreservedBytes {
-		if !run.handler.buffers.reserve() {
-			return run.forwardLongResponse(ctx, e, body)
-		}
-		defer run.handler.buffers.release()
-		body, err = readOn(e, body)
-	}
-	if err == nil && len(body) > maxBufferedBytes {
-		err = errResponseTooLong
-	}
-	e.Close(err == nil)
-	switch {
-	case err != nil:
-		return run.unusableResponse(ctx, err)
-	case run.request.Writer.Started():
-		return result{outcome: cutOff, cause: errors.Errorf("server answered the stream resumption with status %d", e.Status)}
-	}
-	if success && !e.CloseDelimited {
-		run.quarantine.Answered()
-	}
-	resp := &response{status: e.Status, header: e.Header, body: body}
-	if e.Status >= http.StatusInternalServerError {
-		return result{outcome: failedByServer, response: resp, cause: errors.Errorf("server answered with status %d", e.Status)}
-	}
-	r := run.writeResponse(resp)
-	r.unframed = e.CloseDelimited
-	return r
+// delivery is what the caller had received when an attempt ended.
+type delivery struct {
+	events     int64
+	unnumbered int64 // of these without a number
+	lastEvent  string
+	bytes      int64 // of the body
 }
 
-// unusableResponse ends an attempt whose response cannot be forwarded to the
-// caller.
-func (run *passthrough) unusableResponse(ctx context.Context, err error) result {
-	if ended := context.Cause(ctx); ended != nil {
-		err = errors.WithMessage(ended, err.Error())
-		if errors.Is(ended, context.Canceled) {
-			err = errCallerDisconnected
-		}
-	}
-	if run.request.Writer.Started() {
-		return result{outcome: cutOff, cause: err}
+// conclude ends an attempt and reports its result to the quarantine, the placer, the counters and
+// the log. It returns for how long the server is avoided. ctx is that of the request.
+func (run *passthrough) conclude(ctx context.Context, a *attempt, r result, d delivery) time.Duration {
+	a.cancel(nil)
+	a.placed.Done()
+	run.reportToQuarantine(ctx, a, r)
+	run.handler.counters.Inc("attempt_" + outcomeNames[r.outcome])
+	placed := a.placed
+	switch {
+	case errors.Is(r.cause, errServerReplaced):
+		placed.MarkReplaced()
+		run.handler.Log.Info().Str("server", placed.Server.ID).Str("address", placed.Server.Address).
+			Int64("entry", placed.Server.Sequence).Msg("backend server was replaced")
+	case r.outcome == delivered || r.outcome == failedByServer:
+		placed.RecordAnswer(r.outcome == failedByServer)
+	case r.outcome == notExecuted:
+		placed.RecordRefusal()
+	case ctx.Err() == nil && isServerFault(r):
+		avoidFor := a.avoidServer()
+		call := &run.passthrough.Call
+		run.handler.Log.Info().Str("server", placed.Server.ID).Str("address", placed.Server.Address).
+			Str("request", call.Attempt).Strs("prompt_parts", loggedParts(call.Parts)).Int64("events", d.events).
+			Int64("unnumbered", d.unnumbered).Str("last_event", d.lastEvent).Int64("bytes", d.bytes).
+			Dur("avoided", avoidFor).AnErr("cause", r.cause).Msg("backend server is avoided after a failed attempt")
+		return avoidFor
 	}
-	return result{outcome: failed, cause: err}
+	return 0
 }
 
-// writeResponse sends a buffered response to the caller.
-func (run *passthrough) writeResponse(resp *response) result {
-	w := run.request.Writer
-	run.copyHeader(resp.header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
-	w.Start(resp.status)
-	if _, err := w.Write(resp.body); err != nil {
-		return result{outcome: cutOff, cause: errCallerDisconnected}
-	}
-	return result{outcome: delivered}
+// isServerFault reports whether an attempt that brought no response ended because of its server.
+func isServerFault(r result) bool {
+	return r.outcome != overtaken && !errors.Is(r.cause, errCallerDisconnected) && !errors.Is(r.cause, errOvertaken) &&
+		!errors.Is(r.cause, errQuarantined) && !errors.Is(r.cause, errWithheld)
 }
 
-// copyHeader sets the response header for the caller from the server's.
-func (run *passthrough) copyHeader(from http.Header) {
-	to := run.request.Writer.Header()
-	for name, values := range run.handler.Codec.ResponseHeader(from) {
-		to[name] = values
+// reportToQuarantine reports the result of an attempt to the quarantine.
+func (run *passthrough) reportToQuarantine(ctx context.Context, a *attempt, r result) {
+	server, attempt := a.placed.Server, a.quarantine
+	switch {
+	case errors.Is(r.cause, errServerReplaced) || errors.Is(r.cause, syscall.ECONNREFUSED):
+		attempt.End()
+		run.handler.Quarantine.ServerCrashed(server)
+	case r.outcome == overtaken || ((r.outcome == failed || r.outcome == cutOff) && errors.Is(r.cause, errCallerDisconnected)):
+		attempt.Left()
+	case r.outcome == failed || r.outcome == cutOff:
+		attempt.Broke(ctx.Err() == nil)
+	case r.unframed:
+		run.handler.Quarantine.ServerAlive(server, a.begunAt)
+		attempt.EndedWithConnection()
+	case r.outcome == delivered || r.outcome == failedByServer || r.outcome == notExecuted:
+		attempt.End()
+		run.handler.Quarantine.ServerAlive(server, a.begunAt)
+	default:
+		attempt.End()
 	}
 }
-
-// returnServerFailure forwards the error response of a server to the caller.
-func (run *passthrough) returnServerFailure(resp *response) filter.Outcome {
-	run.writeResponse(resp)
-	return filter.Answered()
-}
--- a/internal/filter/forward/buffer.go
+++ b/internal/filter/forward/buffer.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -26,31 +25,33 @@
 
 var errNoBuffer = errors.New("response is long, and there is no memory to buffer it")
 
-// longBuffers limits how many long responses are buffered at the same time.
-type longBuffers struct {
-	reserved atomic.Int64
-	memory   Memory
+// reservations limits how many of something that takes memory exist at the same time.
+type reservations struct {
+	max    int64
+	bytes  int64 // of each
+	memory Memory
+	held   atomic.Int64
 }
 
-// Memory is the budget on which buffered responses draw.
+// Memory is the budget on which buffered responses and hedges draw.
 type Memory interface {
 	TryReserve(n int64) bool
 	Release(n int64)
 }
 
-// reserve reports whether one more response may be buffered. If so, release must follow.
-func (b *longBuffers) reserve() bool {
-	if b.reserved.Add(1) <= maxLongBuffers && (b.memory == nil || b.memory.TryReserve(maxBufferedBytes)) {
+// reserve reports whether there may be one more. If so, release must follow.
+func (r *reservations) reserve() bool {
+	if r.held.Add(1) <= r.max && (r.memory == nil || r.memory.TryReserve(r.bytes)) {
 		return true
 	}
-	b.reserved.Add(-1)
+	r.held.Add(-1)
 	return false
 }
 
-func (b *longBuffers) release() {
-	b.reserved.Add(-1)
-	if b.memory != nil {
-		b.memory.Release(maxBufferedBytes)
+func (r *reservations) release() {
+	r.held.Add(-1)
+	if r.memory != nil {
+		r.memory.Release(r.bytes)
 	}
 }
 
@@ -62,11 +63,15 @@
 
 // forwardLongResponse forwards a response of which a part was read, as it arrives. It cuts
 // the response off if it breaks off, or does not end within maxBufferedBytes.
-func (run *passthrough) forwardLongResponse(ctx context.Context, e *upstream.Exchange, begun []byte) result {
-	w := run.request.Writer
-	if w.Started() || e.Status >= http.StatusInternalServerError || e.ContentLength() > maxBufferedBytes {
+func (run *passthrough) forwardLongResponse(a *attempt, h *hedging) result {
+	w, e, begun := run.request.Writer, a.received.exchange, a.received.body
+	if e.Status >= http.StatusInternalServerError || e.ContentLength() > maxBufferedBytes {
 		e.Close(false)
-		return run.unusableResponse(ctx, errNoBuffer)
+		return a.failed(errNoBuffer)
+	}
+	if !h.settle() {
+		e.Close(false)
+		return a.failed(errServerSilent)
 	}
 	run.handler.counters.Inc("long_response_unbuffered")
 	run.copyHeader(e.Header)
@@ -81,10 +86,10 @@
 	}
 	e.Close(err == nil)
 	if err != nil {
-		return run.unusableResponse(ctx, err)
+		return a.failed(err)
 	}
 	if e.Status < http.StatusMultipleChoices && !e.CloseDelimited {
-		run.quarantine.Answered()
+		a.quarantine.Answered()
 	}
 	return result{outcome: delivered, unframed: e.CloseDelimited}
 }
--- a/internal/filter/forward/handler.go
+++ b/internal/filter/forward/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,6 +10,7 @@
 
 	"github.com/camphorlever/camphorlever/internal/affinity"
 	"github.com/camphorlever/camphorlever/internal/filter"
+	quarantinefilter "github.com/camphorlever/camphorlever/internal/filter/quarantine"
 	"github.com/camphorlever/camphorlever/internal/membership"
 	"github.com/camphorlever/camphorlever/internal/quarantine"
 	"github.com/camphorlever/camphorlever/internal/refusal"
@@ -40,6 +40,7 @@
 	failed                        // the request may have run, and there is no usable response
 	failedByServer                // the server executed the request and returned an error
 	cutOff                        // the response broke off after a part was sent to the caller
+	overtaken                     // the request may have run, and another server's response was used
 )
 
 // result describes how an attempt ended.
@@ -59,27 +60,16 @@
 	var last result
 	for {
 		h.Gate.Refresh(ctx)
-		placed, ok := h.Placer.Pick(run.servers(), run.query())
-		if !ok && last.outcome == failedByServer {
+		a, verdict, ok := run.begin(ctx, run.tried, run.previous)
+		switch {
+		case !ok && last.outcome == failedByServer:
 			return run.finalOutcome(ctx, last) // the others were cold or paused when it was to be retried
-		}
-		if !ok {
+		case !ok:
 			return run.noServerLeft()
-		}
-		attemptCtx, cancel := context.WithCancelCause(ctx)
-		if verdict := run.startAttempt(placed, cancel); verdict.Blocked {
-			cancel(nil)
-			placed.Done()
+		case verdict.Blocked:
 			return run.withheld(ctx, verdict, last)
 		}
-		p.Server = placed.Server
-		run.recordPlacement(placed)
-		sentAt := time.Now()
-		last = run.attempt(attemptCtx, placed)
-		cancel(nil)
-		placed.Done()
-		run.recordForQuarantine(ctx, placed.Server, sentAt, last)
-		run.recordAttempt(ctx, placed, last)
+		last = run.serve(ctx, a)
 		if last.outcome == delivered {
 			return filter.Answered()
 		}
@@ -90,6 +80,32 @@
 	}
 }
 
+// serve has a server serve the request with an attempt, or another server with a hedge that takes
+// its place. It returns the result of the last one, or of a hedge that brought a failure which the
+// caller may get.
+func (run *passthrough) serve(ctx context.Context, a *attempt) result {
+	run.notePlacement(a, "backend server chosen")
+	for {
+		run.passthrough.Server = a.placed.Server
+		h := run.startHedging(ctx, a)
+		r := run.attempt(a, h)
+		run.concludeAttempt(ctx, a, r)
+		winner, lost := h.end(r)
+		for _, l := range lost {
+			run.tried = append(run.tried, l.attempt.placed.Server.ID)
+			run.count(l.result.outcome)
+			if r.outcome != delivered && r.response == nil && l.result.response != nil {
+				r = l.result
+			}
+		}
+		if winner == nil {
+			return r
+		}
+		run.count(delivered)
+		a = winner
+	}
+}
+
 // resumeAfter returns the event after which the caller wants to resume a stream, empty if it
 // wants all of it or the route's streams cannot be resumed.
 func resumeAfter(p *filter.Passthrough) string {
@@ -114,10 +130,10 @@
 	}
 }
 
-// query describes the request to the placer.
-func (run *passthrough) query() affinity.Query {
+// query describes the request to the placer, for a server other than those tried.
+func (run *passthrough) query(tried []string) affinity.Query {
 	call := &run.passthrough.Call
-	q := affinity.Query{Key: cacheKey(run.passthrough), Tried: run.tried, PromptTokens: call.PromptTokens}
+	q := affinity.Query{Key: cacheKey(run.passthrough), Tried: tried, PromptTokens: call.PromptTokens}
 	if n := len(call.Parts); n > 0 {
 		q.UniqueTokens = call.Parts[n-1].Tokens
 	}
@@ -132,19 +148,16 @@
 	tried       []string
 	notSent     int
 
-	retryReserved atomic.Bool // the budget has granted another attempt
-
 	events *sequence.Sequence // of a stream, sent to the caller
 
-	quarantine *quarantine.Attempt // the present attempt, or the last one
+	previous *quarantine.Attempt // of the last attempt that has ended
 }
 
 // mayRetry reports whether the request may be retried on another server, and
 // logs the decision.
 func (run *passthrough) mayRetry(ctx context.Context, r result, allowedByBudget func() bool) bool {
-	run.tried = append(run.tried, run.passthrough.Server.ID)
 	obstacle := run.retryObstacle(ctx, r)
-	if obstacle == "" && r.outcome != notSent && !run.retryReserved.Swap(false) && !allowedByBudget() {
+	if obstacle == "" && r.outcome != notSent && !allowedByBudget() {
 		obstacle = "retry_budget_spent"
 	}
 	if obstacle != "" {
@@ -219,6 +232,7 @@
 	failed:         "failed",
 	failedByServer: "failed_by_server",
 	cutOff:         "cut_off",
+	overtaken:      "overtaken",
 }
 
 // noServerLeft ends a request for which the placer returned no server.
@@ -292,13 +306,22 @@
 	return out
 }
 
-// recordPlacement adds the chosen server and the inputs of the choice to the
+// withheld ends a request that must not be sent any more. Earlier attempts may have run.
+func (run *passthrough) withheld(ctx context.Context, verdict quarantine.Verdict, last result) filter.Outcome {
+	out := quarantinefilter.Refuse(run.request, verdict)
+	if run.passthrough.MayHaveRun || run.request.Writer.Started() {
+		return run.finalOutcome(ctx, last)
+	}
+	return out
+}
+
+// notePlacement adds the server of an attempt and the inputs of its choice to the
 // request's log trail. In-flight counts and health come from this router's own requests
 // and are always current; the age of the loads of other routers is logged with them.
-func (run *passthrough) recordPlacement(placed *affinity.Placement) {
-	key := cacheKey(run.passthrough)
+func (run *passthrough) notePlacement(a *attempt, message string) {
+	key, placed := cacheKey(run.passthrough), a.placed
 	candidates := len(run.servers())
-	run.request.Note("backend server chosen", func(e *zerolog.Event) {
+	run.request.Note(message, func(e *zerolog.Event) {
 		e.Str("server", placed.Server.ID).Str("address", placed.Server.Address).Int64("entry", placed.Server.Sequence).
 			Str("cache_key", key).Int("in_flight", placed.InFlight).Float64("mean", placed.MeanInFlight).Float64("burden", placed.LoadPenalty).
 			Int("candidates", candidates).Bool("suspect", placed.Suspect).Bool("cold", placed.Cold)
@@ -309,35 +332,18 @@
 	})
 }
 
-// recordAttempt reports the result of an attempt to the placer and adds it to the
-// counters and the request's log trail.
-func (run *passthrough) recordAttempt(ctx context.Context, placed *affinity.Placement, result result) {
-	p := run.passthrough
-	p.LastResult = outcomeNames[result.outcome]
-	run.handler.counters.Inc("attempt_" + p.LastResult)
-	var avoidFor time.Duration
-	switch {
-	case errors.Is(result.cause, errServerReplaced):
-		placed.MarkReplaced()
-		run.handler.Log.Info().Str("server", placed.Server.ID).Str("address", placed.Server.Address).
-			Int64("entry", placed.Server.Sequence).Msg("backend server was replaced")
-	case result.outcome == delivered || result.outcome == failedByServer:
-		placed.RecordAnswer(result.outcome == failedByServer)
-	case result.outcome == notExecuted:
-		placed.RecordRefusal()
-	case ctx.Err() == nil && !errors.Is(result.cause, errCallerDisconnected) && !errors.Is(result.cause, errQuarantined) &&
-		!errors.Is(result.cause, errWithheld):
-		avoidFor = placed.MarkFailed()
-		run.handler.Log.Info().Str("server", placed.Server.ID).Str("address", placed.Server.Address).
-			Str("request", p.Call.Attempt).Strs("prompt_parts", loggedParts(p.Call.Parts)).Int64("events", p.EventsDelivered).
-			Int64("unnumbered", run.events.Unnumbered()).Str("last_event", run.loggedLastEvent()).Int64("bytes", run.request.Writer.Bytes).
-			Dur("avoided", avoidFor).AnErr("cause", result.cause).Msg("backend server is avoided after a failed attempt")
-	}
-	sends, events, unnumbered, lastEvent, bytes := p.Sends, p.EventsDelivered, run.events.Unnumbered(), run.loggedLastEvent(), run.request.Writer.Bytes
+// concludeAttempt concludes an attempt that is no hedge, or no longer one, and adds its result to
+// the request's log trail.
+func (run *passthrough) concludeAttempt(ctx context.Context, a *attempt, r result) {
+	p, server := run.passthrough, a.placed.Server
+	p.LastResult = outcomeNames[r.outcome]
+	run.tried, run.previous = append(run.tried, server.ID), a.quarantine
+	d := delivery{events: p.EventsDelivered, unnumbered: run.events.Unnumbered(), lastEvent: run.loggedLastEvent(), bytes: run.request.Writer.Bytes}
+	avoidFor, sends := run.conclude(ctx, a, r, d), p.Sends
 	run.request.Note("attempt ended", func(e *zerolog.Event) {
-		e.Str("server", placed.Server.ID).Str("outcome", outcomeNames[result.outcome]).AnErr("cause", result.cause).
-			Int("sends", sends).Int64("events", events).Int64("unnumbered", unnumbered).Str("last_event", lastEvent).
-			Int64("bytes", bytes).Dur("avoided", avoidFor)
+		e.Str("server", server.ID).Str("outcome", outcomeNames[r.outcome]).AnErr("cause", r.cause).
+			Int("sends", sends).Int64("events", d.events).Int64("unnumbered", d.unnumbered).Str("last_event", d.lastEvent).
+			Int64("bytes", d.bytes).Dur("avoided", avoidFor)
 	})
 }
 
--- a/internal/filter/forward/setup.go
+++ b/internal/filter/forward/setup.go
@@ -59,7 +59,7 @@
 	// Retries returns this router's share of the retry budget of each service,
 	// which changes with the number of routers.
 	Retries func() retry.Limits
-	// Memory is drawn on by buffered responses; nil for no limit.
+	// Memory is drawn on by buffered responses and hedges; nil for no limit.
 	Memory Memory
 	Log    zerolog.Logger
 }
@@ -67,7 +67,8 @@
 type handler struct {
 	Deps
 	counters *counter.Set
-	buffers  longBuffers
+	buffers  reservations // of long responses
+	hedges   reservations
 
 	mu      sync.Mutex // guards budgets
 	budgets map[string]*retry.Budget
@@ -76,7 +77,13 @@
 // New returns the filter.
 func New(d Deps) filter.Filter {
 	d.Log = d.Log.With().Str("part", "forward").Logger()
-	return &handler{Deps: d, buffers: longBuffers{memory: d.Memory}, counters: filter.Counters("forward"), budgets: map[string]*retry.Budget{}}
+	return &handler{
+		Deps:     d,
+		buffers:  reservations{max: maxLongBuffers, bytes: maxBufferedBytes, memory: d.Memory},
+		hedges:   reservations{max: maxHedges, bytes: hedgeBytes, memory: d.Memory},
+		counters: filter.Counters("forward"),
+		budgets:  map[string]*retry.Budget{},
+	}
 }
 
 // retryBudget returns the retry budget of a service, with the current limits, and
--- a/internal/filter/forward/stream.go
+++ b/internal/filter/forward/stream.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"io"
 	"mime"
 	"net/http"
@@ -30,36 +29,51 @@
 // first ones.
 const provingPeriod = 500 * time.Millisecond
 
-// forwardStream forwards the events of a stream to the caller as they arrive. It
-// calls onFirstEvent when the first of them arrives.
-func (run *passthrough) forwardStream(ctx context.Context, e *upstream.Exchange, silenceTimer silenceTimer, onFirstEvent func()) result {
+// isStream reports whether a response is a stream whose events are forwarded as they arrive.
+func (run *passthrough) isStream(e *upstream.Exchange) bool {
+	return run.passthrough.Route.IsStream() && e.Status == http.StatusOK && isEventStream(e.Header)
+}
+
+// startStream returns a stream that is yet to be read. It returns the result of the attempt if
+// the stream cannot be used.
+func (run *passthrough) startStream(a *attempt, e *upstream.Exchange) (*received, result) {
 	if !e.Info.FromServer || e.Info.Encoded {
 		e.Close(false)
-		return run.unusableResponse(ctx, errNotFromServer)
+		return nil, a.failed(errNotFromServer)
 	}
-	scanner, firstAt := eventstream.NewScanner(e), time.Time{}
-	run.events.StartPart()
+	return &received{exchange: e, scanner: eventstream.NewScanner(e)}, result{}
+}
+
+// forwardStream forwards the events of a stream to the caller as they arrive, unless a hedge has
+// been faster.
+func (run *passthrough) forwardStream(a *attempt, h *hedging) result {
+	e, scanner, events := a.received.exchange, a.received.scanner, a.received.events
+	firstAt := time.Time{}
+	h.startPart()
 	for {
-		received, err := scanner.Next()
-		if errors.Is(err, io.EOF) {
-			return run.finishStream(ctx, e)
-		}
-		if err != nil {
-			e.Close(false)
-			return run.unusableResponse(ctx, err)
+		if len(events) == 0 {
+			var err error
+			events, err = scanner.Next()
+			if errors.Is(err, io.EOF) {
+				return run.finishStream(a, h)
+			}
+			if err != nil {
+				e.Close(false)
+				return a.failed(err)
+			}
 		}
-		accepted, failed := run.events.Accept(received)
+		accepted, failed := h.accept(events)
+		events = nil
 		run.passthrough.EventsDelivered = run.events.Events()
 		// Comments keep no stream alive: a stalled server may go on sending them.
 		if accepted.Progress {
 			if firstAt.IsZero() {
-				onFirstEvent()
 				firstAt = time.Now()
-				run.quarantine.Began()
+				a.recordFirstResponse(run.passthrough.Route)
+				a.quarantine.Began()
 			}
-			silenceTimer.reset(streamSilenceTimeout(run.passthrough.Route))
 			if time.Since(firstAt) >= provingPeriod {
-				run.quarantine.Answered()
+				a.quarantine.Answered()
 			}
 		}
 		if err := run.writeEvents(e, accepted.Send); err != nil {
@@ -67,9 +81,11 @@
 			return result{outcome: cutOff, cause: errCallerDisconnected}
 		}
 		if failed != nil {
-			run.handler.counters.Inc("stream_unsound")
+			if !errors.Is(failed, errServerSilent) {
+				run.handler.counters.Inc("stream_unsound")
+			}
 			e.Close(false)
-			return run.unusableResponse(ctx, failed)
+			return a.failed(failed)
 		}
 	}
 }
@@ -94,18 +110,19 @@
 
 // finishStream completes the response after the server has ended its stream. The
 // header is sent here if the stream had no events.
-func (run *passthrough) finishStream(ctx context.Context, e *upstream.Exchange) result {
+func (run *passthrough) finishStream(a *attempt, h *hedging) result {
+	e := a.received.exchange
 	e.Close(true)
 	if run.events.IsEmpty() && e.CloseDelimited {
-		return run.unusableResponse(ctx, errEmptyStream)
+		return a.failed(errEmptyStream)
 	}
-	withheld, err := run.events.End()
+	withheld, err := h.endStream()
 	if err != nil {
-		return run.unusableResponse(ctx, err)
+		return a.failed(err)
 	}
 	run.passthrough.EventsDelivered = run.events.Events()
 	if !e.CloseDelimited {
-		run.quarantine.Answered()
+		a.quarantine.Answered()
 	}
 	if err := run.writeEvents(e, withheld); err != nil {
 		return result{outcome: cutOff, cause: errCallerDisconnected}
--- a/internal/filter/request.go
+++ b/internal/filter/request.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/camphorlever/camphorlever/internal/ident"
@@ -76,6 +77,7 @@
 	// Caller to BlockHashes are then empty.
 	Passthrough *Passthrough
 	Decisions   []Decision // in the order in which they were made
+	noteMu      sync.Mutex // guards Decisions while attempts are in progress
 
 	// MayHaveRun means that an earlier attempt may have run at a gate.
 	MayHaveRun bool
