forward: a caller that reads slowly is no silent server

What callers saw: nothing; servers got a second copy of the request, which counts against the retry budget and the route's attempts, and the first one was closed and avoided. Cause: the silence timer of a stream also ran while the router waited for the caller to take what had arrived. Change: the timer starts anew while a write to the caller is in progress.

--- a/internal/filter/forward/hedge.go
+++ b/internal/filter/forward/hedge.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,6 +39,7 @@
 	attempt  *attempt
 	timer    *time.Timer // nil if the request may not be sent again
 	panicked panics.Catcher
+	writing  atomic.Bool // to the caller, so the server is not waited for
 
 	mu        sync.Mutex // guards all below, and the run's events while hedges may be in flight
 	changed   *sync.Cond // a hedge has won or ended
@@ -193,6 +195,10 @@
 	if h.closed || h.settled || h.winner != nil || h.remaining <= 0 || (events.Started() && !events.CanResume()) {
 		return nil
 	}
+	if h.writing.Load() {
+		h.timer.Reset(h.limit)
+		return nil
+	}
 	other := &hedge{events: events.Fork()}
 	other.ctx, other.cancel = context.WithCancelCause(h.ctx)
 	h.hedges[other] = true
--- a/internal/filter/forward/stream.go
+++ b/internal/filter/forward/stream.go
@@ -76,7 +76,10 @@
 				a.quarantine.Answered()
 			}
 		}
-		if err := run.writeEvents(e, accepted.Send); err != nil {
+		h.writing.Store(true)
+		err := run.writeEvents(e, accepted.Send)
+		h.writing.Store(false)
+		if err != nil {
 			e.Close(false)
 			return result{outcome: cutOff, cause: errCallerDisconnected}
 		}
