forward: do not resume a response that is no stream

What callers saw: a response of another type that broke off, with the events of a stream joined to it, as one complete response. Cause: a long response for which there is no memory is forwarded as it arrives. If it broke off, the request was sent to another server when the route allows streams to be resumed and the caller had named an event: that event was taken for one of the response. Change: a response is only resumed if events of it were sent. Measured: TestLongResponseToAResumptionIsNotContinued fails before (no error, events after the long response) and passes now.

--- a/internal/filter/forward/handler.go
+++ b/internal/filter/forward/handler.go
@@ -191,7 +191,7 @@
 		return ""
 	case p.Sends >= p.Route.MaxAttempts:
 		return "attempts_spent"
-	case r.outcome == cutOff && (!p.Route.Resumable || !run.events.CanResume()):
+	case r.outcome == cutOff && (!p.Route.Resumable || !run.events.Started() || !run.events.CanResume()):
 		return "answer_began"
 	case (r.outcome == failed || r.outcome == failedByServer) && !p.Route.AllowsRerun():
 		return "may_have_run"
