forward: a refused resumption is no fault of the server

What callers saw: requests kept away from a server that was only full, for 0.5 to 4 s, while the one that had broken off was avoided too. Cause: a refusal counted as a response that broke off once a part of the response was sent to the caller. So the server was avoided, and probed as if it had crashed on the prompt. Change: a refusal stays one; what the caller gets follows from what was sent. Measured: TestRefusedResumptionIsNoFault fails before (two servers avoided) and passes now.

--- a/internal/filter/forward/attempt.go
+++ b/internal/filter/forward/attempt.go
@@ -74,7 +74,7 @@
 // to the caller if it can be used and no hedge has been faster.
 func (run *passthrough) attempt(a *attempt, h *hedging) result {
 	r := run.forward(a, h)
-	if (r.outcome == failed || r.outcome == notExecuted) && run.request.Writer.Started() {
+	if r.outcome == failed && run.request.Writer.Started() {
 		r.outcome = cutOff
 	}
 	return r
