soak: workers preempt runs or are full beside planned work

Cause: the soak had no worker that pauses, so it could not see answers that are lost since their worker does. Change: schedules of overlapping stops, reloads and top-ups, in which workers preempt runs for 0.6 s or refuse. No answer may be cut, and no request fail with 502, before its time is nearly up. The guard of the new rule is on the list; the one of 'not run' follows its line, as strict as before.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -34,8 +34,13 @@
 	w.recover()
 	cancel()
 	time.Sleep(100 * time.Millisecond)
+	closed := time.Now()
 	w.close()
-	return w.check()
+	broken := w.check()
+	if s.OnlyPlanned {
+		broken = append(broken, w.notes.checkPreempted(closed)...)
+	}
+	return broken
 }
 
 // apply does one fault from its beginning to its end.
--- a/test/soak/guards_test.go
+++ b/test/soak/guards_test.go
@@ -19,7 +19,8 @@
 	file    string
 	line    string
 	without string
-	faults  []Fault // that find it; random ones if there are none
+	faults  []Fault                    // that find it; random ones if there are none
+	draw    func(seed uint64) Schedule // makes the random ones; draw if nil
 }
 
 var guardList = []guard{
@@ -45,8 +46,14 @@
 	},
 	{
 		name: "not run only if that is known", file: "internal/filter/forward/attempt.go",
-		line:    "	run.passthrough.MayHaveRun = true\n	if run.request.Writer.Started() {",
-		without: "	if run.request.Writer.Started() {",
+		line:    "	if o != notExecuted {\n",
+		without: "	if o != notExecuted && o != failed {\n",
+	},
+	{
+		name: "a silent server is kept until another one has answered", file: "internal/filter/forward/hedge.go",
+		line:    "	received, r := h.run.receive(a, other.events)\n",
+		without: "	h.attempt.cancel(errServerSilent)\n	received, r := h.run.receive(a, other.events)\n",
+		draw:    drawPlanned,
 	},
 	{
 		name: "an answer names its request", file: "internal/upstream/exchange.go",
@@ -115,7 +122,11 @@
 			t.Parallel()
 			program := g.build(t)
 			for seed := *first; seed < *first+seedsEach; seed++ {
-				s := draw(seed)
+				makeSchedule := draw
+				if g.draw != nil {
+					makeSchedule = g.draw
+				}
+				s := makeSchedule(seed)
 				if g.faults != nil {
 					s.Faults = g.faults
 				}
--- a/test/soak/promises_test.go
+++ b/test/soak/promises_test.go
@@ -268,6 +268,24 @@
 	}
 }
 
+// cutMargin is how long before its timeout a request may not be cut.
+const cutMargin = 300 * time.Millisecond
+
+// checkPreempted: while there is only planned work and workers answer or refuse, no answer is cut,
+// and no request that a worker is at work on fails. All processes are killed at a time.
+func (n *notes) checkPreempted(killed time.Time) (out []string) {
+	for _, q := range n.requests {
+		took := q.ended.Sub(q.sent)
+		if q.unsent || q.gone || q.ended.After(killed) || took > q.timeout()-cutMargin {
+			continue
+		}
+		if (q.status == http.StatusOK && q.cut != nil) || q.status == http.StatusBadGateway {
+			out = append(out, fmt.Sprintf("%s of kind %s at router-%d was lost %v after it was sent: status %d, %v", q.attempt, q.kind, q.router, took, q.status, q.cut))
+		}
+	}
+	return out
+}
+
 // mayRefuse reports whether a router may hold the request's key for unknown: it
 // was taken away, or is so new that not all need to know it.
 func (n *notes) mayRefuse(q *request) bool {
--- a/test/soak/schedule_test.go
+++ b/test/soak/schedule_test.go
@@ -54,6 +54,8 @@
 type Schedule struct {
 	Seed   uint64  `json:"seed"`
 	Faults []Fault `json:"faults"`
+	// OnlyPlanned means that all faults are planned work, or workers that preempt or refuse.
+	OnlyPlanned bool `json:"only_planned,omitempty"`
 }
 
 // Lengths of a run. Faults end before the load does, so that the callers see
@@ -144,6 +146,28 @@
 	return s
 }
 
+// drawPlanned makes a schedule of planned work, in series that overlap, while workers preempt runs
+// or are full. No answer may be cut then.
+func drawPlanned(seed uint64) Schedule {
+	r := rand.New(rand.NewPCG(seed, 0x9a05))
+	s := Schedule{Seed: seed, OnlyPlanned: true}
+	planned := []Kind{stop, stop, reload, topUp}
+	for range 3 + r.IntN(4) {
+		f := Fault{At: r.IntN(faultsTill - 1500), Kind: planned[r.IntN(len(planned))], N: r.IntN(12)}
+		for range 1 + r.IntN(3) {
+			s.Faults = append(s.Faults, f)
+			f.At += 100 + r.IntN(700)
+			f.N++
+		}
+	}
+	for range 4 + r.IntN(6) {
+		way := []string{"preempt", "preempt", "refuse"}[r.IntN(3)]
+		s.Faults = append(s.Faults, Fault{At: r.IntN(faultsTill - 2500), Kind: grey, Way: way, N: r.IntN(12), For: 1000 + r.IntN(3000)})
+	}
+	s.sort()
+	return s
+}
+
 // load reads a schedule from a file that a failed run has left.
 func load(path string) (Schedule, error) {
 	var s Schedule
@@ -173,7 +197,7 @@
 // shrink leaves faults out as long as the schedule goes on failing.
 func shrink(s Schedule, fails func(Schedule) bool) Schedule {
 	for i := 0; i < len(s.Faults); {
-		fewer := Schedule{Seed: s.Seed, Faults: slices.Delete(slices.Clone(s.Faults), i, i+1)}
+		fewer := Schedule{Seed: s.Seed, OnlyPlanned: s.OnlyPlanned, Faults: slices.Delete(slices.Clone(s.Faults), i, i+1)}
 		if fails(fewer) {
 			s = fewer
 		} else {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -98,6 +98,9 @@
 // TestSoakWithRestores plays the same seeds on a log that comes back from older copies.
 func TestSoakWithRestores(t *testing.T) { playSeeds(t, drawRestored) }
 
+// TestSoakWithPreemption plays seeds with planned work while workers preempt runs or are full.
+func TestSoakWithPreemption(t *testing.T) { playSeeds(t, drawPlanned) }
+
 func playSeeds(t *testing.T, draw func(seed uint64) Schedule) {
 	if *replay != "" || *guards {
 		t.Skip("another run was asked for")
--- a/test/soak/workers_test.go
+++ b/test/soak/workers_test.go
@@ -22,6 +22,7 @@
 	workTime       = 15 * time.Millisecond
 	deadlyPart     = "dead" // crashes workers
 	pauseFor       = 1500 * time.Millisecond
+	preemptedFor   = 600 * time.Millisecond // longer than a router waits before it asks another worker
 )
 
 func (w *worker) setGrey(way string) {
@@ -50,6 +51,10 @@
 		return
 	}
 	n.runs(run{attempt: sent.AttemptID, account: sent.Account, worker: id, service: w.service, path: r.URL.Path, at: time.Now()})
+	if grey == "preempt" && rand.IntN(2) == 0 {
+		time.Sleep(preemptedFor)
+		grey = ""
+	}
 	_, events := parsePath(r.URL.Path)
 	if slices.Contains(sent.PromptParts, deadlyPart) {
 		time.Sleep(workTime)
@@ -164,6 +169,9 @@
 			noise(conn, sent.AttemptID[len(sent.AttemptID)-1], standin.Chunk)
 			return
 		}
+		if grey == "preempt" && i == (sent.LastEventID+events)/2+1 {
+			time.Sleep(preemptedFor)
+		}
 		if grey == "cut-stream" && i > sent.LastEventID+2 {
 			_ = conn.Close()
 			return
