intake: count the items of lists in request heads

What callers saw: requests that servers were at work on ended without an answer, since the process was killed for its memory. Cause: a head was counted as its bytes and 192 a line. Names in a Trailer field (a map of net/http, 105 bytes a name) and prompt parts (24 bytes each, and twice that while their slice grew) stand in one line, and were not counted while the body was unfinished. Change: a comma reserves 128 bytes as the head arrives. Items that are no trailers keep 64 of them once the head is parsed. TestListsInHeadsAreCounted is new; without the change 2,000 items reserve nothing beyond their bytes.

--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -1,7 +1,9 @@
 package intake
 
 import (
+	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -254,6 +256,48 @@
 	require.Equal(t, 1, dialled)
 }
 
+// TestListsInHeadsAreCounted guards against heads of legal size whose lists take far more memory
+// than bytes: names of trailers, for which net/http makes a map, and items that a handler parses.
+func TestListsInHeadsAreCounted(t *testing.T) {
+	const items = 2000
+	list := strings.Repeat("a,", items)
+	for name, c := range map[string]struct {
+		field string
+		each  int64
+	}{"trailers": {"Trailer", trailerBytes}, "other list": {"Parts", listItemBytes}} {
+		t.Run(name, func(t *testing.T) {
+			b, held := NewBudget(Limits{Bytes: 1 << 20}), make(chan int64, 2)
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { held <- b.Used() }))
+			Prepare(server.Config)
+			server.Config.ConnState = ConnState
+			server.Listener = b.Listener(server.Listener, Options{MaxConns: 10, MaxHeadBytes: func() int { return 16 << 10 }})
+			server.Start()
+			defer server.Close()
+			conn, err := net.Dial("tcp4", server.Listener.Addr().String())
+			require.NoError(t, err)
+			defer func() { require.NoError(t, conn.Close()) }()
+			// All names of a Trailer field differ: equal ones are one entry.
+			if c.field == "Trailer" {
+				var names strings.Builder
+				for i := range items {
+					fmt.Fprintf(&names, "%x,", i+16)
+				}
+				list = names.String()
+			}
+			for range 2 {
+				_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\n%s: %sz\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", c.field, list)
+				require.NoError(t, err)
+				used := <-held
+				require.Greater(t, used, items*c.each)
+				require.Less(t, used, items*c.each+32<<10)
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				require.NoError(t, err)
+				require.NoError(t, response.Body.Close())
+			}
+		})
+	}
+}
+
 // TestLimitsFollowFromTheVM guards against a budget that the VM's memory does not
 // hold, and against listeners without connections on a small VM.
 func TestLimitsFollowFromTheVM(t *testing.T) {
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -18,6 +18,12 @@
 	// bytes: an entry of a map that grows, two strings and a slice. 116 bytes were
 	// measured for complete heads.
 	fieldBytes = 192
+	// trailerBytes is what a name in the Trailer field takes beyond its bytes, until the
+	// request ends: an entry of a map and a string. 105 bytes were measured.
+	trailerBytes = 128
+	// listItemBytes is what an item of another list in a head may take beyond its bytes once
+	// it is parsed: two strings and a number.
+	listItemBytes = 64
 	// headSlack is how many bytes beyond the limit of a head may be read: what
 	// net/http reads ahead, and the line of the request.
 	headSlack = 8 << 10
@@ -132,6 +138,7 @@
 
 	handling  atomic.Bool // a handler runs; else the bytes read belong to a head
 	headBytes int         // of the current head
+	listItems int         // in that head; each comma counts
 
 	writeDeadlineAt time.Time // when WriteTimeout was last applied
 }
@@ -170,13 +177,21 @@
 		c.listener.budget.countGivenUp("head_too_long")
 		return 0, errHeadTooLong
 	}
-	if full := c.holder.Reserve(int64(n + fieldBytes*bytes.Count(p[:n], newline))); full != nil {
+	// Any list may be one of trailers until the head is parsed.
+	items := bytes.Count(p[:n], comma)
+	c.listItems += items
+	if full := c.holder.Reserve(int64(n + fieldBytes*bytes.Count(p[:n], newline) + trailerBytes*items)); full != nil {
 		return 0, full
 	}
 	return n, err
 }
 
-var newline = []byte{'\n'}
+var newline, comma = []byte{'\n'}, []byte{','}
+
+// headParsed returns what was reserved for trailers if the lists are others.
+func (c *conn) headParsed(trailers int) {
+	c.holder.Shrink(int64((trailerBytes - listItemBytes) * max(c.listItems-trailers, 0)))
+}
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
@@ -230,6 +245,7 @@
 			return
 		}
 		c.handling.Store(true)
+		c.headParsed(len(r.Trailer))
 		if r.ContentLength == 0 {
 			c.holder.setPhase(complete)
 		}
@@ -249,7 +265,7 @@
 // http.Server.
 func ConnState(nc net.Conn, state http.ConnState) {
 	if c, ok := nc.(*conn); ok && state == http.StateIdle {
-		c.headBytes = 0
+		c.headBytes, c.listItems = 0, 0
 		c.holder.endRequest()
 		c.handling.Store(false)
 	}
