knownred: print what a test wrote within which its program ended

Cause: the output of a test was printed when it failed or passed. If the program ended within it neither came, so nothing told why. Change: the output of tests that did not end is printed with the verdict. Measured: TestOutputOfATestThatDoesNotEndIsPrinted fails without the change (empty output) and passes now.

--- a/internal/knownred/judge.go
+++ b/internal/knownred/judge.go
@@ -159,6 +159,9 @@
 	}
 	failures := map[string]int{} // failed tests by package
 	for test, action := range j.results {
+		if action == "run" && j.output[test] != nil {
+			fmt.Fprint(j.out, j.output[test]) // the program ended within it
+		}
 		if action == "fail" {
 			failures[test.Package]++
 		}
--- a/internal/knownred/knownred_test.go
+++ b/internal/knownred/knownred_test.go
@@ -59,6 +59,16 @@
 	}
 }
 
+// TestOutputOfATestThatDoesNotEndIsPrinted guards against a test program that ends, and whose
+// output tells why and is lost.
+func TestOutputOfATestThatDoesNotEndIsPrinted(t *testing.T) {
+	var out strings.Builder
+	input := events("run TestBegin", "output TestBegin SIGSEGV: segmentation violation", "fail -") + ExitMark + "2"
+	_, err := Judge(strings.NewReader(input), &out, "m", nil)
+	require.NoError(t, err)
+	require.Contains(t, out.String(), "SIGSEGV")
+}
+
 func TestListIsStrict(t *testing.T) {
 	for _, line := range []string{
 		"internal/gate | a | b | c",
