forward: a caller that leaves while a hedge is in flight is recorded as such

What operators saw: outcome_unknown in the log of a request whose first server had failed and whose caller left before the other one answered. Cause: the result of the first attempt stood, which ended before. Change: the result of a hedge stands if its cause is the caller. Measured: TestCallerThatLeavesDuringAHedgeIsRecorded fails without the change and passes now.

--- a/internal/filter/forward/handler.go
+++ b/internal/filter/forward/handler.go
@@ -51,6 +51,12 @@
 	response *response // of failedByServer; nil if it would tell the caller something untrue
 }
 
+// tellsMore reports whether the result of a hedge says more than that of a failed attempt: the
+// caller may get its response, or has left.
+func (r result) tellsMore() bool {
+	return r.response != nil || errors.Is(r.cause, errCallerDisconnected)
+}
+
 // Handle implements filter.Filter.
 func (h *handler) Handle(ctx context.Context, r *filter.Request, _ filter.Next) filter.Outcome {
 	p := r.Passthrough
@@ -94,7 +100,7 @@
 		for _, l := range lost {
 			run.tried = append(run.tried, l.attempt.placed.Server.ID)
 			run.count(l.result.outcome)
-			if r.outcome != delivered && r.response == nil && l.result.response != nil {
+			if r.outcome != delivered && r.response == nil && l.result.tellsMore() {
 				r = l.result
 			}
 		}
