--- a/internal/filter/forward/attempt.go
+++ b/internal/filter/forward/attempt.go
@@ -32,7 +32,7 @@
 	ctx        context.Context
 	cancel     context.CancelCauseFunc
 	begunAt    time.Time
-	received   *received // of a hedge whose response is used; nil otherwise
+	received   *received // nil until a response has begun that may be used
 
 	avoidOnce sync.Once
 	avoided   time.Duration
@@ -80,6 +80,7 @@
 	return r
 }
 
+// forward does the same, and returns failed also for a response that broke off.
 func (run *passthrough) forward(a *attempt, h *hedging) result {
 	if a.received == nil {
 		exchange, r := run.open(a, run.events.LastEventID())
@@ -244,22 +245,22 @@
 
 // reportToQuarantine reports the result of an attempt to the quarantine.
 func (run *passthrough) reportToQuarantine(ctx context.Context, a *attempt, r result) {
-	server, attempt := a.placed.Server, a.quarantine
+	server, registered := a.placed.Server, a.quarantine
 	switch {
 	case errors.Is(r.cause, errServerReplaced) || errors.Is(r.cause, syscall.ECONNREFUSED):
-		attempt.End()
+		registered.End()
 		run.handler.Quarantine.ServerCrashed(server)
 	case r.outcome == overtaken || ((r.outcome == failed || r.outcome == cutOff) && errors.Is(r.cause, errCallerDisconnected)):
-		attempt.Left()
+		registered.Left()
 	case r.outcome == failed || r.outcome == cutOff:
-		attempt.Broke(ctx.Err() == nil)
+		registered.Broke(ctx.Err() == nil)
 	case r.unframed:
 		run.handler.Quarantine.ServerAlive(server, a.begunAt)
-		attempt.EndedWithConnection()
+		registered.EndedWithConnection()
 	case r.outcome == delivered || r.outcome == failedByServer || r.outcome == notExecuted:
-		attempt.End()
+		registered.End()
 		run.handler.Quarantine.ServerAlive(server, a.begunAt)
 	default:
-		attempt.End()
+		registered.End()
 	}
 }
