forward: a long failure of a hedge is not used

What callers saw: 502 or 404 while the server that pauses had their answer. Cause: a response for which there is no memory counted as one that the caller can use, also if it was a failure or longer than may be forwarded; the silent server was left for it. Change: a hedge with such a response fails.

--- a/internal/filter/forward/buffer.go
+++ b/internal/filter/forward/buffer.go
@@ -65,7 +65,7 @@
 // the response off if it breaks off, or does not end within maxBufferedBytes.
 func (run *passthrough) forwardLongResponse(a *attempt, h *hedging) result {
 	w, e, begun := run.request.Writer, a.received.exchange, a.received.body
-	if e.Status >= http.StatusInternalServerError || e.ContentLength() > maxBufferedBytes {
+	if !a.received.canForward() {
 		e.Close(false)
 		return a.failed(errNoBuffer)
 	}
--- a/internal/filter/forward/response.go
+++ b/internal/filter/forward/response.go
@@ -60,12 +60,19 @@
 		return run.receiveEvents(a, exchange, events)
 	}
 	received, r := run.readResponse(a, exchange)
-	if received == nil || received.isLong || exchange.Status < http.StatusBadRequest {
+	isSuccess := exchange.Status < http.StatusBadRequest
+	switch {
+	case received == nil:
+		return nil, r
+	case received.isLong && !(isSuccess && received.canForward()):
+		received.discard()
+		return nil, a.failed(errNoBuffer)
+	case isSuccess:
 		return received, r
+	default: // the server that is silent may still do better
+		received.releaseBody()
+		return nil, failureOf(received)
 	}
-	// The server that is silent may still do better.
-	received.releaseBody()
-	return nil, failureOf(received)
 }
 
 // receiveEvents reads a stream until an event that the caller does not have, or its end.
@@ -156,6 +163,11 @@
 	return r
 }
 
+// canForward reports whether a long response may be forwarded as it arrives.
+func (r *received) canForward() bool {
+	return r.exchange.Status < http.StatusInternalServerError && r.exchange.ContentLength() <= maxBufferedBytes
+}
+
 func (r *received) response() *response {
 	return &response{status: r.exchange.Status, header: r.exchange.Header, body: r.body}
 }
